sidecar: the whole path on the users' platform, with the adapter in platform/

Cause: the product had no way to run beside upstreams on the platform's hosts, without disks and without a control host. Change: a sidecar process (routing, placement, gate, repeats, peers' reports, watches of the store) on the existing HTTP, admission, crash guard and driver interface; platform/ translates the names. Admission knows a target latency: late calls go after those on time.

--- a/include/agatespread/admission.h
+++ b/include/agatespread/admission.h
@@ -22,6 +22,7 @@
     double ramp_start = 0.2;                                   ///< Share of slots at the start.
     std::chrono::milliseconds probe_period = std::chrono::seconds(1); ///< See `admission`.
     std::chrono::milliseconds min_retry_after = std::chrono::milliseconds(100);
+    double late_queue = 0.5; ///< Queued calls per slot up to which late calls are still taken.
 };
 
 /// A call that asks for a slot.
@@ -30,6 +31,7 @@
     std::uint8_t priority = 5; ///< 0 is the most urgent.
     time_point deadline;
     std::uint64_t kind = 0; ///< Groups calls with similar service times, such as a class.
+    time_point target{};    ///< When an answer loses most of its value; the epoch for never.
 };
 
 /// Why a call was refused; every refusal happens before the first byte.
@@ -63,10 +65,15 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
+    std::chrono::nanoseconds service_time{0}; ///< Mean over all kinds; 0 before the first answer.
 };
 
 /// Grants the slots of the own upstream to calls by class priority and deadline.
 ///
+/// A call with a target latency that it can still meet goes before all calls that are late, so
+/// that under sustained overload the slots earn the full value of what they run. A late call is
+/// taken only while the queue is short, and refused at once otherwise.
+///
 /// A call is refused at once when the observed service times show that it cannot finish within
 /// its deadline. An idle upstream, and each kind once in a probe period, takes a call in spite of
 /// the estimate; otherwise an estimate that was too high would never be corrected.
@@ -101,7 +108,8 @@
 
 private:
     using nanoseconds = std::chrono::nanoseconds;
-    using order = std::tuple<std::uint8_t, time_point, std::uint64_t>; // Most urgent first.
+    /// Late, priority, due time, id; the most urgent first.
+    using order = std::tuple<bool, std::uint8_t, time_point, std::uint64_t>;
 
     struct service_time {
         nanoseconds mean{0};
@@ -114,13 +122,17 @@
         admission_request request;
         time_point started; ///< The epoch while queued.
         bool probe = false;
+        bool late = false; ///< Cannot meet its target any more.
     };
 
+    static order place_of(const call& queued);
+    bool meets_target(const call& queued, nanoseconds wait, time_point now) const;
+    bool late_calls_fit(time_point now) const;
     std::uint32_t open_slots(time_point now) const;
     nanoseconds expected_duration(std::uint64_t kind) const;
     nanoseconds expected_wait(const order& place, time_point now) const;
     bool take_probe(std::uint64_t kind, time_point now);
-    bool fits(const admission_request& request, time_point now);
+    bool fits(const admission_request& request, const order& place, time_point now);
     std::chrono::milliseconds retry_after(time_point now) const;
     void refuse(std::uint64_t id, refusal_reason reason, time_point now,
                 admission_actions& actions);
--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -111,6 +111,9 @@
     /// Returns the address with the port in use, such as "127.0.0.1:40113".
     std::string address() const;
 
+    /// Replaces the limits of requests that arrive from now on, but not the parser's.
+    void set_limits(const http_limits& limits);
+
     /// Stops accepting connections; requests in flight are still answered.
     void stop_accepting();
 
@@ -126,7 +129,13 @@
     std::string url; ///< Such as "http://127.0.0.1:8080/stops?day=1".
     http_request request;
     std::chrono::milliseconds timeout = std::chrono::seconds(5);
+    std::chrono::milliseconds connect_timeout{0}; ///< 0 is `timeout`.
     std::size_t max_response_bytes = 8U << 20U;
+    /// Takes a body without a length as complete at an orderly close that was not announced.
+    bool close_ends_body = false;
+    /// Sees the status and fields before the body; on false the connection is closed and the
+    /// call ends as `truncated`.
+    std::function<bool(const http_response&)> accept_head;
 };
 
 /// How a call ended.
--- /dev/null
+++ b/include/agatespread/placement.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <agatespread/base.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace agatespread {
+
+/// The load of an upstream as its node reported it.
+struct reported_load {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t slots = 0;
+    std::chrono::nanoseconds service_time{0}; ///< Mean time of a call on a slot.
+};
+
+/// An upstream that a request may go to.
+struct placement_candidate {
+    reported_load load;
+    std::uint32_t sent_since = 0;         ///< Requests sent by this node since the report.
+    std::chrono::nanoseconds distance{0}; ///< Round trip to the upstream's node.
+};
+
+/// The weights of a placement.
+struct placement_options {
+    /// Costs within this share of the service time count as equal, so that nodes with the same
+    /// reports do not all choose the same upstream.
+    double spread = 0.25;
+    /// Assumed before an upstream has answered anything.
+    std::chrono::nanoseconds unknown_service_time = std::chrono::milliseconds(100);
+};
+
+/// Returns how long a request is expected to take at a candidate.
+std::chrono::nanoseconds expected_time(const placement_candidate& candidate,
+                                       const placement_options& options);
+
+/// Chooses the upstream that is expected to answer first, or nothing without candidates.
+///
+/// Load pattern: steady load near the capacity, with upstreams of different speeds and a failure
+/// domain whose callers need more slots than it has. A nearby upstream wins until the wait for
+/// its slots exceeds the way to another failure domain.
+std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
+                                           const placement_options& options,
+                                           const random_source& random);
+
+} // namespace agatespread
--- a/include/agatespread/platform.h
+++ b/include/agatespread/platform.h
@@ -6,6 +6,8 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -40,6 +42,13 @@
     std::string value;
 };
 
+/// Rows that changed; a row without a value was removed.
+struct row_changes {
+    std::vector<row_write> rows;
+    std::uint64_t revision = 0; ///< Where the next call of `follow` goes on.
+    bool complete = false;      ///< `rows` are all rows, so that others are gone.
+};
+
 /// The end of a transaction; `conflicts` holds the present rows of the failed preconditions.
 struct transaction_result {
     bool committed = false;
@@ -70,6 +79,13 @@
     /// Reads at most `limit` rows whose key starts with `prefix`, in descending order of key.
     virtual void scan(std::string prefix, std::size_t limit, callback<std::vector<row>> done) = 0;
 
+    /// Waits for changes of rows whose key starts with `prefix`, for at most `wait`.
+    ///
+    /// `after` 0 returns all rows at once. The reason "history_lost" says that changes after
+    /// `after` are no longer known. Drivers without a feed answer "unimplemented".
+    virtual void follow(std::string prefix, std::uint64_t after, std::chrono::milliseconds wait,
+                        callback<row_changes> done);
+
     /// Stores an object under its SHA-256; storing it again has no effect.
     virtual void put_object(std::string id, std::string bytes, callback<bool> done) = 0;
 
--- a/include/agatespread/proxy.h
+++ b/include/agatespread/proxy.h
@@ -58,6 +58,7 @@
     crashed,     ///< The upstream crashed while it ran the request.
     failed,      ///< The upstream did not answer whole.
     timed_out,   ///< The upstream did not answer in time.
+    rejected,    ///< As `not_run`, but the upstream itself refused the request.
 };
 
 /// What an answer carries from node to node.
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -73,8 +73,14 @@
                actions);
         return actions;
     }
-    const order place(request.priority, request.deadline, request.id);
-    const bool fits_in_time = fits(request, now);
+    call entering{request, time_point(), false, false};
+    entering.late = !meets_target(entering, expected_wait(place_of(entering), now), now);
+    if (entering.late && !late_calls_fit(now)) {
+        refuse(request.id, refusal_reason::too_late, now, actions);
+        return actions;
+    }
+    const order place = place_of(entering);
+    const bool fits_in_time = fits(request, place, now);
     const bool probe = !fits_in_time && request.deadline > now && take_probe(request.kind, now);
     if (!fits_in_time && !probe) {
         refuse(request.id, refusal_reason::too_late, now, actions);
@@ -85,13 +91,14 @@
             refuse(request.id, refusal_reason::queue_full, now, actions);
             return actions;
         }
-        const std::uint64_t least_urgent = std::get<2>(*queue_.rbegin());
+        const std::uint64_t least_urgent = std::get<3>(*queue_.rbegin());
         queue_.erase(std::prev(queue_.end()));
         calls_.erase(least_urgent);
         refuse(least_urgent, refusal_reason::shed, now, actions);
     }
     queue_.insert(place);
-    calls_[request.id] = call{request, time_point(), probe};
+    entering.probe = probe;
+    calls_[request.id] = entering;
     fill(now, actions);
     drop_late(now, actions);
     return actions;
@@ -124,8 +131,7 @@
         return actions;
     }
     if (found->second.started == time_point()) {
-        const admission_request& request = found->second.request;
-        queue_.erase(order(request.priority, request.deadline, request.id));
+        queue_.erase(place_of(found->second));
     }
     else {
         --running_;
@@ -147,7 +153,8 @@
 admission_load admission::load(time_point now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return admission_load{running_, static_cast<std::uint32_t>(queue_.size()), open_slots(now)};
+    return admission_load{running_, static_cast<std::uint32_t>(queue_.size()), open_slots(now),
+                          overall_.mean};
 }
 
 bool admission::idle() const
@@ -184,6 +191,26 @@
     return overall_.mean * (ahead + 1) / std::max(1U, slots);
 }
 
+admission::order admission::place_of(const call& queued)
+{
+    const admission_request& request = queued.request;
+    const bool by_target = request.target != time_point() && !queued.late;
+    return {queued.late, request.priority, by_target ? request.target : request.deadline,
+            request.id};
+}
+
+bool admission::meets_target(const call& queued, nanoseconds wait, time_point now) const
+{
+    const admission_request& request = queued.request;
+    return request.target == time_point() ||
+           now + wait + expected_duration(request.kind) <= request.target;
+}
+
+bool admission::late_calls_fit(time_point now) const
+{
+    return static_cast<double>(queue_.size()) < options_.late_queue * open_slots(now);
+}
+
 bool admission::take_probe(std::uint64_t kind, time_point now)
 {
     service_time& known = times_[kind];
@@ -194,7 +221,7 @@
     return true;
 }
 
-bool admission::fits(const admission_request& request, time_point now)
+bool admission::fits(const admission_request& request, const order& place, time_point now)
 {
     if (request.deadline <= now) {
         return false;
@@ -204,8 +231,7 @@
     }
     const nanoseconds mean = expected_duration(request.kind);
     const nanoseconds left = request.deadline - now;
-    const nanoseconds wait =
-        expected_wait(order(request.priority, request.deadline, request.id), now);
+    const nanoseconds wait = expected_wait(place, now);
     // With a free slot there is nothing better to run, so a likely success is enough.
     const auto known = times_.find(request.kind);
     const nanoseconds deviation =
@@ -234,8 +260,8 @@
 void admission::refuse_queue(refusal_reason reason, time_point now, admission_actions& actions)
 {
     for (const order& place : queue_) {
-        calls_.erase(std::get<2>(place));
-        refuse(std::get<2>(place), reason, now, actions);
+        calls_.erase(std::get<3>(place));
+        refuse(std::get<3>(place), reason, now, actions);
     }
     queue_.clear();
 }
@@ -245,7 +271,7 @@
     const std::uint32_t slots = std::max(1U, open_slots(now));
     std::int64_t ahead = 0;
     for (auto place = queue_.begin(); place != queue_.end();) {
-        const call& queued = calls_.at(std::get<2>(*place));
+        const call& queued = calls_.at(std::get<3>(*place));
         const nanoseconds wait = overall_.mean * (ahead + 1) / slots;
         const nanoseconds needed = wait + expected_duration(queued.request.kind);
         const nanoseconds left = queued.request.deadline - now;
@@ -267,9 +293,19 @@
 {
     const std::uint32_t slots = open_slots(now);
     while (running_ < slots && !queue_.empty()) {
-        const std::uint64_t id = std::get<2>(*queue_.begin());
+        const std::uint64_t id = std::get<3>(*queue_.begin());
         queue_.erase(queue_.begin());
         call& next = calls_.at(id);
+        if (!next.late && !meets_target(next, nanoseconds(0), now) && running_ > 0) {
+            next.late = true;
+            if (late_calls_fit(now)) {
+                queue_.insert(place_of(next));
+                continue;
+            }
+            calls_.erase(id);
+            refuse(id, refusal_reason::too_late, now, actions);
+            continue;
+        }
         const auto known = times_.find(next.request.kind);
         const nanoseconds margin =
             known == times_.end() ? nanoseconds(0) : known->second.deviation * start_margin;
--- /dev/null
+++ b/src/caller_request.cpp
@@ -0,0 +1,491 @@
+#include "caller_request.h"
+
+#include "gate_request.h"
+
+#include <agatespread/digest.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatespread::detail {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// A node without configuration, or a service without upstreams, usually recovers within a
+// heartbeat period of 1.5 s.
+constexpr milliseconds unavailable_retry_after{500};
+
+// Gates that may refuse a request before it is refused to the caller: a further one costs a
+// round trip, and reports are fresh enough that the first choices have the most room.
+constexpr std::uint32_t max_refusals = 2;
+
+// A peer answers the opening packet within a round trip; a longer wait means a lost packet.
+constexpr milliseconds peer_connect_timeout{300};
+
+// Beyond the caller's deadline, so that the own timer ends the request first.
+constexpr milliseconds transfer_margin{500};
+
+// A repeat is useful only if an upstream is likely to answer in what is left.
+constexpr milliseconds shortest_repeat{40};
+
+// Round trips inside a failure domain and between two of them; they only rank upstreams.
+constexpr milliseconds near_distance{1};
+constexpr milliseconds far_distance{10};
+
+http_response own_response(int status, std::string_view reason, milliseconds retry_after)
+{
+    http_response response;
+    response.status = status;
+    response.headers.add("Content-Type", "text/plain");
+    if (retry_after.count() > 0) {
+        response.headers.add("Retry-After",
+                             fmt::format("{:.3f}", static_cast<double>(retry_after.count()) / 1e3));
+    }
+    response.body = std::string(reason) + "\n";
+    return response;
+}
+
+} // namespace
+
+caller_request::caller_request(std::shared_ptr<sidecar::impl> owner,
+                               std::shared_ptr<http_exchange> exchange)
+    : owner_(std::move(owner)), exchange_(std::move(exchange)), started_(owner_->loop.now())
+{
+    ++owner_->in_flight;
+}
+
+caller_request::~caller_request()
+{
+    --owner_->in_flight;
+}
+
+milliseconds caller_request::left() const
+{
+    return duration_cast<milliseconds>(deadline_ - owner_->loop.now());
+}
+
+std::uint64_t caller_request::fingerprint() const
+{
+    const http_request& request = exchange_->request();
+    return hash64(owner_->settings.service,
+                  request_fingerprint(service_, request.method, request.target, request.body));
+}
+
+void caller_request::start()
+{
+    context_ = owner_->dialect.read_request(exchange_->request());
+    exchange_->on_cancel([weak = weak_from_this()] {
+        if (const std::shared_ptr<caller_request> self = weak.lock()) {
+            self->cancel();
+        }
+    });
+    if (!resolve() || !passes_guard()) {
+        return;
+    }
+    timer_ = owner_->loop.after(std::max(left(), milliseconds(1)),
+                                [weak = weak_from_this()](time_point) {
+                                    if (const std::shared_ptr<caller_request> self = weak.lock()) {
+                                        self->out_of_time();
+                                    }
+                                });
+    owner_->repeats.count_request(service_, started_);
+    attempt();
+}
+
+bool caller_request::resolve()
+{
+    const http_request& request = exchange_->request();
+    const std::shared_ptr<const routing_table> table = owner_->table;
+    if (!table) {
+        owner_->counters.unconfigured.add();
+        refuse("no_configuration", unavailable_retry_after);
+        return false;
+    }
+    version_ = table->version();
+    rule_ = table->find(request.headers.get("Host"), request.target);
+    if (!rule_) {
+        owner_->counters.unrouted.add();
+        owner_->log.request("request_unrouted", context_.request_id,
+                            {{"version", version_},
+                             {"host", request.headers.get("Host")},
+                             {"target", std::string_view(request.target).substr(0, 60)}},
+                            started_);
+        deliver(own_response(404, "no route", milliseconds(0)));
+        return false;
+    }
+    series_ = &owner_->series_of(rule_->name);
+    service_ = rule_->to[owner_->shares.pick(*rule_)].service;
+    const milliseconds waits = context_.time_left.value_or(rule_->timeout);
+    deadline_ = started_ + std::min(waits, rule_->timeout);
+    // A caller that comes back waits for less than at first: the difference has passed already.
+    const milliseconds passed = owner_->full_wait(rule_->name, waits) - waits;
+    target_ = started_ + rule_->target_latency - passed;
+    if (waits.count() <= 0) {
+        refuse("deadline_passed", milliseconds(0));
+        return false;
+    }
+    return true;
+}
+
+bool caller_request::passes_guard()
+{
+    if (owner_->guard.size() == 0) {
+        return true;
+    }
+    const guard_check known = owner_->guard.check(fingerprint(), started_);
+    if (known.state == suspicion::blocked) {
+        refuse("crash_guard", known.retry_after);
+        return false;
+    }
+    suspect_ = known.state == suspicion::suspect;
+    return true;
+}
+
+std::vector<caller_request::destination> caller_request::destinations() const
+{
+    const time_point now = owner_->loop.now();
+    std::vector<destination> result;
+    const auto tried = [this](const node_id& node) {
+        return std::find(tried_.begin(), tried_.end(), node) != tried_.end();
+    };
+    const bool own = service_ == owner_->settings.service &&
+                     owner_->gate_state() == upstream_state::ready && !owner_->stopping;
+    if (own && !tried(owner_->settings.node)) {
+        const admission_load load = owner_->gate.load(now);
+        destination here;
+        here.node = owner_->settings.node;
+        here.load.load = {load.running, load.queued, load.slots, load.service_time};
+        result.push_back(std::move(here));
+    }
+    for (const eligible_peer& peer : owner_->others.eligible(service_, now)) {
+        if (!tried(peer.node)) {
+            destination there;
+            there.node = peer.node;
+            there.address = peer.call_address;
+            there.load.load = peer.load;
+            there.load.sent_since = peer.sent_since;
+            there.load.distance = peer.local_domain ? near_distance : far_distance;
+            result.push_back(std::move(there));
+        }
+    }
+    return result;
+}
+
+void caller_request::attempt()
+{
+    const std::vector<destination> possible = destinations();
+    std::vector<placement_candidate> loads;
+    loads.reserve(possible.size());
+    for (const destination& each : possible) {
+        loads.push_back(each.load);
+    }
+    const std::optional<std::size_t> chosen =
+        choose_upstream(loads, owner_->settings.placement, owner_->random);
+    if (!chosen) {
+        if (may_have_run_) {
+            fail(502, "no_other_upstream");
+        }
+        else {
+            refuse("no_upstream", unavailable_retry_after);
+        }
+        return;
+    }
+    send(possible[*chosen]);
+}
+
+void caller_request::send(const destination& to)
+{
+    ++attempt_;
+    tried_.push_back(to.node);
+    forwarded_call call;
+    call.caller_service = owner_->settings.service;
+    call.service = service_;
+    call.rule = rule_->name;
+    call.priority = rule_->priority;
+    call.suspect = suspect_;
+    call.left = left();
+    if (rule_->target_latency.count() > 0) {
+        call.target = duration_cast<milliseconds>(target_ - owner_->loop.now());
+    }
+    if (to.address.empty()) {
+        send_here(std::move(call));
+        return;
+    }
+    send_to(to, call);
+}
+
+void caller_request::send_here(forwarded_call call)
+{
+    http_request request = exchange_->request();
+    strip_headers(request.headers);
+    const std::uint64_t id = ++owner_->last_gate_id;
+    const std::uint32_t attempt = attempt_;
+    const std::shared_ptr<gate_request> local = std::make_shared<gate_request>(
+        owner_, id, std::move(call), std::move(request),
+        [self = shared_from_this(), attempt](forwarded_answer answer, http_response response) {
+            if (!self->done_ && attempt == self->attempt_) {
+                self->ended(self->owner_->settings.node, std::move(answer), std::move(response));
+            }
+        });
+    owner_->gate_requests.emplace(id, local);
+    cancel_attempt_ = [local] { local->cancel(); };
+    local->start();
+}
+
+void caller_request::send_to(const destination& to, const forwarded_call& call)
+{
+    http_call sent;
+    sent.request = exchange_->request();
+    strip_headers(sent.request.headers);
+    write_call(call, sent.request.headers);
+    sent.url = "http://" + to.address + sent.request.target;
+    sent.timeout = std::max(call.left, milliseconds(1)) + transfer_margin;
+    sent.connect_timeout = peer_connect_timeout;
+    sent.max_response_bytes = 64U << 20U;
+    owner_->others.sent(to.node);
+    const std::uint32_t attempt = attempt_;
+    const http_client::call_id id = owner_->client.send(
+        std::move(sent), [self = shared_from_this(), node = to.node, attempt](http_result result) {
+            if (!self->done_ && attempt == self->attempt_) {
+                self->peer_ended(node, std::move(result));
+            }
+        });
+    cancel_attempt_ = [owner = owner_, id] { owner->client.cancel(id); };
+}
+
+void caller_request::peer_ended(const node_id& node, http_result result)
+{
+    const time_point now = owner_->loop.now();
+    if (result.outcome == http_outcome::answered) {
+        std::optional<forwarded_answer> answer = read_answer(result.response.headers);
+        if (answer) {
+            owner_->others.answered(node, answer->load, now);
+            ended(node, std::move(*answer), std::move(result.response));
+            return;
+        }
+        result.error = "not an answer of a node";
+        result.sent = true;
+    }
+    owner_->others.failed(node, now);
+    forwarded_answer lost;
+    const bool sent = result.sent || result.outcome != http_outcome::not_sent;
+    lost.outcome = sent ? answer_outcome::failed : answer_outcome::unavailable;
+    lost.reason = sent ? "peer_lost" : "peer_unreachable";
+    owner_->log.request("peer_failed", context_.request_id,
+                        {{"peer", node}, {"reason", lost.reason}, {"error", result.error}}, now);
+    ended(node, std::move(lost), {});
+}
+
+void caller_request::ended(const node_id& node, forwarded_answer answer, http_response response)
+{
+    cancel_attempt_ = nullptr;
+    switch (answer.outcome) {
+    case answer_outcome::answered:
+        ++arrivals_;
+        if (response.status >= 500 && rule_->idempotent && arrivals_ < rule_->max_attempts &&
+            take_repeat()) {
+            may_have_run_ = true;
+            attempt();
+            return;
+        }
+        deliver(std::move(response));
+        return;
+    case answer_outcome::blocked:
+        if (may_have_run_) {
+            fail(502, answer.reason);
+        }
+        else {
+            refuse(answer.reason, answer.retry_after);
+        }
+        return;
+    case answer_outcome::draining:
+    case answer_outcome::unavailable:
+        owner_->others.refused(node, owner_->loop.now());
+        after_refusal(answer);
+        return;
+    case answer_outcome::not_run:
+        after_refusal(answer);
+        return;
+    case answer_outcome::rejected:
+        ++arrivals_;
+        if (arrivals_ < rule_->max_attempts && take_repeat()) {
+            attempt();
+            return;
+        }
+        if (may_have_run_) {
+            fail(502, answer.reason);
+        }
+        else {
+            refuse(answer.reason, answer.retry_after);
+        }
+        return;
+    case answer_outcome::crashed:
+        suspect_ = true;
+        owner_->guard.suspect(fingerprint(), owner_->loop.now());
+        after_failure(answer, 502);
+        return;
+    case answer_outcome::failed:
+        after_failure(answer, 502);
+        return;
+    case answer_outcome::timed_out:
+        after_failure(answer, 504);
+        return;
+    }
+}
+
+bool caller_request::take_repeat()
+{
+    if (left() < shortest_repeat) {
+        return false;
+    }
+    if (!owner_->repeats.take(service_, owner_->others.size(), owner_->loop.now())) {
+        owner_->counters.budget_empty.add();
+        return false;
+    }
+    series_->repeats.add();
+    return true;
+}
+
+void caller_request::after_refusal(const forwarded_answer& answer)
+{
+    ++refusals_;
+    if (refusals_ < max_refusals || answer.outcome == answer_outcome::unavailable ||
+        answer.outcome == answer_outcome::draining) {
+        if (!destinations().empty()) {
+            owner_->counters.moved.add();
+            attempt();
+            return;
+        }
+    }
+    if (may_have_run_) {
+        fail(502, answer.reason);
+        return;
+    }
+    refuse(answer.reason, std::max(answer.retry_after, milliseconds(100)));
+}
+
+void caller_request::after_failure(const forwarded_answer& answer, int status)
+{
+    ++arrivals_;
+    may_have_run_ = true;
+    if (rule_->idempotent && arrivals_ < rule_->max_attempts && !destinations().empty() &&
+        take_repeat()) {
+        owner_->log.request("request_repeated", context_.request_id,
+                            {{"reason", answer.reason}, {"rule", rule_->name}, {"left", left()}},
+                            owner_->loop.now());
+        attempt();
+        return;
+    }
+    fail(status, answer.reason);
+}
+
+void caller_request::refuse(std::string_view reason, milliseconds retry_after)
+{
+    if (done_) {
+        return;
+    }
+    if (series_ != nullptr) {
+        series_->refused.add();
+    }
+    owner_->log.request("request_refused", context_.request_id,
+                        {{"reason", reason},
+                         {"rule", rule_ ? std::string_view(rule_->name) : std::string_view("-")},
+                         {"service", service_},
+                         {"version", version_},
+                         {"tried", static_cast<std::uint64_t>(tried_.size())},
+                         {"held", duration_cast<milliseconds>(owner_->loop.now() - started_)},
+                         {"retry_after", retry_after}},
+                        owner_->loop.now());
+    http_response response = own_response(503, reason, retry_after);
+    finish();
+    exchange_->respond(std::move(response));
+}
+
+void caller_request::fail(int status, std::string_view reason)
+{
+    if (done_) {
+        return;
+    }
+    series_->failed.add();
+    owner_->log.request("request_failed", context_.request_id,
+                        {{"status", status},
+                         {"reason", reason},
+                         {"rule", rule_->name},
+                         {"service", service_},
+                         {"version", version_},
+                         {"node", tried_.empty() ? std::string("-") : tried_.back()},
+                         {"arrivals", arrivals_},
+                         {"held", duration_cast<milliseconds>(owner_->loop.now() - started_)}},
+                        owner_->loop.now());
+    finish();
+    exchange_->respond(own_response(status, reason, milliseconds(0)));
+}
+
+void caller_request::deliver(http_response response)
+{
+    if (done_) {
+        return;
+    }
+    if (series_ != nullptr) {
+        const std::chrono::nanoseconds taken = owner_->loop.now() - started_;
+        series_->answered.add();
+        series_->duration.record(taken);
+        if (response.status >= 500 || owner_->log.sample_success()) {
+            owner_->log.request("request_answered", context_.request_id,
+                                {{"status", response.status},
+                                 {"rule", rule_->name},
+                                 {"version", version_},
+                                 {"node", tried_.empty() ? std::string("-") : tried_.back()},
+                                 {"tried", static_cast<std::uint64_t>(tried_.size())},
+                                 {"took", duration_cast<milliseconds>(taken)}},
+                                owner_->loop.now());
+        }
+    }
+    strip_headers(response.headers);
+    finish();
+    exchange_->respond(std::move(response));
+}
+
+void caller_request::out_of_time()
+{
+    if (done_) {
+        return;
+    }
+    if (cancel_attempt_) {
+        may_have_run_ = true;
+        std::exchange(cancel_attempt_, nullptr)();
+    }
+    fail(504, "out_of_time");
+}
+
+void caller_request::cancel()
+{
+    if (done_) {
+        return;
+    }
+    if (series_ != nullptr) {
+        series_->cancelled.add();
+    }
+    owner_->log.request("request_cancelled", context_.request_id,
+                        {{"node", tried_.empty() ? std::string("-") : tried_.back()},
+                         {"held", duration_cast<milliseconds>(owner_->loop.now() - started_)}},
+                        owner_->loop.now());
+    if (cancel_attempt_) {
+        std::exchange(cancel_attempt_, nullptr)();
+    }
+    finish();
+}
+
+void caller_request::finish()
+{
+    done_ = true;
+    timer_.cancel();
+    cancel_attempt_ = nullptr;
+}
+
+} // namespace agatespread::detail
--- /dev/null
+++ b/src/caller_request.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "sidecar_impl.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace agatespread::detail {
+
+/// A request of a caller on this host, from its arrival to its final answer.
+class caller_request : public std::enable_shared_from_this<caller_request> {
+public:
+    caller_request(std::shared_ptr<sidecar::impl> owner, std::shared_ptr<http_exchange> exchange);
+    caller_request(const caller_request&) = delete;
+    caller_request& operator=(const caller_request&) = delete;
+    ~caller_request();
+
+    /// Finds the rule and sends the request to an upstream.
+    void start();
+
+private:
+    /// A node that may get the request; the own node has no address.
+    struct destination {
+        node_id node;
+        std::string address;
+        placement_candidate load;
+    };
+
+    bool resolve();
+    bool passes_guard();
+    std::vector<destination> destinations() const;
+    void attempt();
+    void send(const destination& to);
+    void send_here(forwarded_call call);
+    void send_to(const destination& to, const forwarded_call& call);
+    void peer_ended(const node_id& node, http_result result);
+    void ended(const node_id& node, forwarded_answer answer, http_response response);
+    bool take_repeat();
+    void after_refusal(const forwarded_answer& answer);
+    void after_failure(const forwarded_answer& answer, int status);
+    void refuse(std::string_view reason, std::chrono::milliseconds retry_after);
+    void fail(int status, std::string_view reason);
+    void deliver(http_response response);
+    void out_of_time();
+    void cancel();
+    void finish();
+    std::chrono::milliseconds left() const;
+    std::uint64_t fingerprint() const;
+
+    std::shared_ptr<sidecar::impl> owner_;
+    std::shared_ptr<http_exchange> exchange_;
+    caller_context context_;
+    std::shared_ptr<const route_rule> rule_;
+    config_version version_ = 0;
+    std::string service_;
+    rule_series* series_ = nullptr;
+    time_point started_;
+    time_point deadline_;
+    time_point target_;
+    subscription timer_;
+    std::vector<node_id> tried_;
+    std::uint32_t arrivals_ = 0; ///< Upstreams that the request may have reached.
+    std::uint32_t refusals_ = 0; ///< Gates that refused it.
+    bool may_have_run_ = false;
+    bool suspect_ = false;
+    bool done_ = false;
+    std::uint32_t attempt_ = 0;
+    std::function<void()> cancel_attempt_;
+};
+
+} // namespace agatespread::detail
--- a/src/curl_loop.cpp
+++ b/src/curl_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +16,24 @@
 
 namespace {
 
+// Ends connections whose peer stopped answering without a reset: the host lost power or its link
+// is partitioned. Two probes after an idle second, or 1.5 s of unacknowledged data.
+constexpr int keep_alive_idle_seconds = 1;
+constexpr int keep_alive_interval_seconds = 1;
+constexpr int keep_alive_probes = 2;
+constexpr unsigned int unacknowledged_timeout_ms = 1500;
+
+void detect_dead_peer(curl_socket_t fd)
+{
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_seconds, sizeof(int));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_seconds, sizeof(int));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof(int));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_timeout_ms,
+                 sizeof(unacknowledged_timeout_ms));
+}
+
 std::uint16_t port_of(const sockaddr_storage& address)
 {
     return ntohs(address.ss_family == AF_INET6
@@ -97,6 +116,7 @@
     const curl_socket_t fd =
         ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (fd != CURL_SOCKET_BAD) {
+        detect_dead_peer(fd);
         curl_loop* const loop = static_cast<curl_loop*>(self);
         loop->sockets_.emplace(fd, std::make_shared<watched_socket>(loop->context_, fd));
         loop->without_ports_.push_back(fd);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -591,6 +591,11 @@
     return impl_->address;
 }
 
+void http_server::set_limits(const http_limits& limits)
+{
+    impl_->state->limits = limits;
+}
+
 void http_server::stop_accepting()
 {
     impl_->state->accepting = false;
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -143,7 +143,9 @@
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 0L);
     const long timeout = static_cast<long>(call_.timeout.count());
     curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, timeout);
-    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, timeout);
+    const long connect = static_cast<long>(call_.connect_timeout.count());
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                     connect > 0 ? std::min(connect, timeout) : timeout);
     set_method();
     set_headers();
 }
@@ -332,6 +334,9 @@
         return fail(http_outcome::truncated, "conflicting lengths in the response");
     }
     headers_complete_ = response_.status >= 200;
+    if (headers_complete_ && call_.accept_head && !call_.accept_head(response_)) {
+        return fail(http_outcome::truncated, "the response was not accepted");
+    }
     return true;
 }
 
@@ -360,8 +365,8 @@
     switch (code) {
     case CURLE_OK:
         // Without a length only an announced close tells a complete body from a cut one.
-        return headers_complete_ &&
-                       (!body_expected() || has_length_ || chunked_ || announced_close_)
+        return headers_complete_ && (!body_expected() || has_length_ || chunked_ ||
+                                     announced_close_ || call_.close_ends_body)
                    ? http_outcome::answered
                    : http_outcome::truncated;
     case CURLE_OPERATION_TIMEDOUT:
--- a/src/mesh_signer.cpp
+++ b/src/mesh_signer.cpp
@@ -21,8 +21,9 @@
 
 constexpr std::size_t call_id_digits = 32;
 
-constexpr std::array<std::string_view, 8> outcome_names = {
-    "answered", "not-run", "draining", "unavailable", "blocked", "crashed", "failed", "timed-out"};
+constexpr std::array<std::string_view, 9> outcome_names = {"answered",    "not-run",   "draining",
+                                                           "unavailable", "blocked",   "crashed",
+                                                           "failed",      "timed-out", "rejected"};
 
 absl::string_view view(std::string_view text)
 {
--- a/src/outbound_call.cpp
+++ b/src/outbound_call.cpp
@@ -30,6 +30,7 @@
     case answer_outcome::answered:
         return attempt_end::answered;
     case answer_outcome::not_run:
+    case answer_outcome::rejected:
         return attempt_end::refused;
     case answer_outcome::draining:
         return attempt_end::draining;
@@ -334,6 +335,7 @@
         blocked(retry_after);
         return;
     case answer_outcome::not_run:
+    case answer_outcome::rejected:
     case answer_outcome::draining:
     case answer_outcome::unavailable:
         attempt_failed(attempt_failure::not_run, retry_after);
--- /dev/null
+++ b/src/peers.cpp
@@ -0,0 +1,338 @@
+#include <agatespread/peers.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace agatespread {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+absl::Status malformed(std::string_view field)
+{
+    return layer_error(absl::StatusCode::kInvalidArgument, "peers", "malformed",
+                       "peer message: field " + std::string(field) + " is missing or wrong");
+}
+
+// Reads the fields of one message and remembers the first that is wrong.
+class fields {
+public:
+    explicit fields(std::string_view bytes)
+        : object_(json::from_cbor(bytes.begin(), bytes.end(), true, false))
+    {
+        if (!object_.is_object()) {
+            wrong_ = "(message)";
+        }
+    }
+
+    explicit fields(json object) : object_(std::move(object)) {}
+
+    void read(const char* name, std::string& target)
+    {
+        const auto found = find(name);
+        if (found == object_.end() || !found->is_string()) {
+            fail(name);
+            return;
+        }
+        target = found->get<std::string>();
+    }
+
+    template <typename Number>
+    void read(const char* name, Number& target)
+    {
+        const auto found = find(name);
+        if (found == object_.end() || !found->is_number_unsigned()) {
+            fail(name);
+            return;
+        }
+        target = static_cast<Number>(found->get<std::uint64_t>());
+    }
+
+    json list(const char* name)
+    {
+        const auto found = find(name);
+        if (found == object_.end() || !found->is_array()) {
+            fail(name);
+            return json::array();
+        }
+        return *found;
+    }
+
+    const std::string& wrong() const { return wrong_; }
+
+private:
+    json::const_iterator find(const char* name) const
+    {
+        return object_.is_object() ? object_.find(name) : object_.end();
+    }
+
+    void fail(const char* name)
+    {
+        if (wrong_.empty()) {
+            wrong_ = name;
+        }
+    }
+
+    json object_;
+    std::string wrong_;
+};
+
+// The names are short because a report is sent to every peer several times a second.
+json to_json(const peer_entry& entry)
+{
+    return {{"n", entry.node},
+            {"d", entry.failure_domain},
+            {"s", entry.service},
+            {"c", entry.call_address},
+            {"r", entry.report_address}};
+}
+
+void read_entry(fields& from, peer_entry& entry)
+{
+    from.read("n", entry.node);
+    from.read("d", entry.failure_domain);
+    from.read("s", entry.service);
+    from.read("c", entry.call_address);
+    from.read("r", entry.report_address);
+}
+
+std::string to_bytes(const json& value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+} // namespace
+
+std::string encode_entry(const peer_entry& entry)
+{
+    return to_bytes(to_json(entry));
+}
+
+absl::StatusOr<peer_entry> decode_entry(std::string_view bytes)
+{
+    fields from(bytes);
+    peer_entry entry;
+    read_entry(from, entry);
+    if (!from.wrong().empty()) {
+        return malformed(from.wrong());
+    }
+    return entry;
+}
+
+std::string encode_report(const peer_report& report)
+{
+    json crashes = json::array();
+    for (const crash_report& crash : report.crashes) {
+        crashes.push_back({{"f", crash.fingerprint},
+                           {"b", crash.crashes},
+                           {"k", crash.cleared ? 1U : 0U},
+                           {"m", static_cast<std::uint64_t>(crash.blocked_for.count())},
+                           {"s", crash.suspects}});
+    }
+    json value = to_json(report.entry);
+    value["p"] = report.process;
+    value["q"] = report.sequence;
+    value["t"] = static_cast<std::uint64_t>(report.state);
+    value["u"] = report.load.running;
+    value["w"] = report.load.queued;
+    value["l"] = report.load.slots;
+    value["m"] = static_cast<std::uint64_t>(report.load.service_time.count());
+    value["v"] = report.in_force;
+    value["x"] = std::move(crashes);
+    return to_bytes(value);
+}
+
+absl::StatusOr<peer_report> decode_report(std::string_view bytes)
+{
+    fields from(bytes);
+    peer_report report;
+    read_entry(from, report.entry);
+    std::uint64_t state = 0;
+    std::uint64_t service_time = 0;
+    from.read("p", report.process);
+    from.read("q", report.sequence);
+    from.read("t", state);
+    from.read("u", report.load.running);
+    from.read("w", report.load.queued);
+    from.read("l", report.load.slots);
+    from.read("m", service_time);
+    from.read("v", report.in_force);
+    for (const json& entry : from.list("x")) {
+        fields crash(entry);
+        crash_report next;
+        std::uint64_t cleared = 0;
+        std::uint64_t blocked_for = 0;
+        crash.read("f", next.fingerprint);
+        crash.read("b", next.crashes);
+        crash.read("k", cleared);
+        crash.read("m", blocked_for);
+        for (const json& suspect : crash.list("s")) {
+            if (!suspect.is_number_unsigned()) {
+                return malformed("x.s");
+            }
+            next.suspects.push_back(suspect.get<std::uint64_t>());
+        }
+        if (!crash.wrong().empty()) {
+            return malformed("x." + crash.wrong());
+        }
+        next.cleared = cleared != 0;
+        next.blocked_for = milliseconds(blocked_for);
+        report.crashes.push_back(next);
+    }
+    if (state > static_cast<std::uint64_t>(upstream_state::draining)) {
+        return malformed("t");
+    }
+    if (!from.wrong().empty()) {
+        return malformed(from.wrong());
+    }
+    report.state = static_cast<upstream_state>(state);
+    report.load.service_time = std::chrono::nanoseconds(service_time);
+    return report;
+}
+
+peers::peers(node_id own, std::string failure_domain, const peer_options& options)
+    : own_(std::move(own)), failure_domain_(std::move(failure_domain)), options_(options)
+{
+}
+
+void peers::learn(const peer_entry& entry, time_point now)
+{
+    if (entry.node == own_) {
+        return;
+    }
+    peer& known = peers_[entry.node];
+    known.entry = entry;
+    known.last_known = now;
+}
+
+void peers::remove(const node_id& node, time_point now)
+{
+    const auto found = peers_.find(node);
+    if (found != peers_.end() && !is_heard(found->second, now)) {
+        peers_.erase(found);
+    }
+}
+
+bool peers::receive(const peer_report& report, time_point now)
+{
+    if (report.entry.node == own_) {
+        return false;
+    }
+    peer& known = peers_[report.entry.node];
+    if (known.process == report.process && report.sequence <= known.sequence) {
+        return false;
+    }
+    known.entry = report.entry;
+    known.process = report.process;
+    known.sequence = report.sequence;
+    known.state = report.state;
+    known.load = report.load;
+    known.in_force = report.in_force;
+    known.sent_since = 0;
+    known.heard = now;
+    known.last_known = now;
+    known.suspended = false;
+    return true;
+}
+
+void peers::sent(const node_id& node)
+{
+    const auto found = peers_.find(node);
+    if (found != peers_.end()) {
+        ++found->second.sent_since;
+    }
+}
+
+void peers::answered(const node_id& node, const reported_load& load, time_point now)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end()) {
+        return;
+    }
+    found->second.load = load;
+    found->second.sent_since = 0;
+    found->second.heard = now;
+}
+
+void peers::refused(const node_id& node, time_point now)
+{
+    failed(node, now);
+}
+
+void peers::failed(const node_id& node, time_point /*now*/)
+{
+    const auto found = peers_.find(node);
+    if (found != peers_.end()) {
+        found->second.suspended = true;
+    }
+}
+
+bool peers::is_heard(const peer& subject, time_point now) const
+{
+    return subject.heard != time_point() &&
+           now - subject.heard <=
+               report_period() * options_.missed_reports + options_.shortest_period / 2;
+}
+
+std::vector<eligible_peer> peers::eligible(std::string_view service, time_point now) const
+{
+    std::vector<eligible_peer> result;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        const peer& subject = each.second;
+        if (subject.entry.service != service || subject.state != upstream_state::ready ||
+            subject.suspended || !is_heard(subject, now)) {
+            continue;
+        }
+        result.push_back({each.first, subject.entry.call_address,
+                          subject.entry.failure_domain == failure_domain_, subject.load,
+                          subject.sent_since});
+    }
+    return result;
+}
+
+std::vector<peer_entry> peers::all() const
+{
+    std::vector<peer_entry> result;
+    result.reserve(peers_.size());
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        result.push_back(each.second.entry);
+    }
+    return result;
+}
+
+milliseconds peers::report_period() const
+{
+    const double seconds = static_cast<double>(peers_.size()) / options_.reports_per_second;
+    return std::max(options_.shortest_period,
+                    milliseconds(static_cast<std::int64_t>(std::ceil(seconds * 1000))));
+}
+
+const peer_entry* peers::ahead_of(config_version version, time_point now) const
+{
+    const peer* best = nullptr;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        const peer& subject = each.second;
+        if (is_heard(subject, now) && subject.in_force > version &&
+            (best == nullptr || subject.in_force > best->in_force)) {
+            best = &subject;
+        }
+    }
+    return best == nullptr ? nullptr : &best->entry;
+}
+
+void peers::expire(time_point now)
+{
+    for (auto each = peers_.begin(); each != peers_.end();) {
+        const bool silent = now - each->second.last_known > options_.forget_after;
+        each = silent ? peers_.erase(each) : std::next(each);
+    }
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/src/repeat_budget.cpp
@@ -0,0 +1,57 @@
+#include <agatespread/repeat_budget.h>
+
+#include <algorithm>
+
+namespace agatespread {
+
+repeat_budget::repeat_budget(const repeat_budget_options& options) : options_(options)
+{
+}
+
+repeat_budget::usage& repeat_budget::usage_of(std::string_view service, time_point now)
+{
+    const std::int64_t slot =
+        now.time_since_epoch() / std::chrono::duration_cast<time_point::duration>(
+                                     options_.window / static_cast<std::int64_t>(slots_per_window));
+    usage& used = services_[std::string(service)];
+    const std::int64_t passed =
+        std::min(slot - used.current, static_cast<std::int64_t>(kept_slots));
+    for (std::int64_t step = 0; step < passed; ++step) {
+        const std::size_t index = static_cast<std::size_t>(slot - step) % kept_slots;
+        used.requests[index] = 0;
+        used.repeats[index] = 0;
+    }
+    used.current = std::max(used.current, slot);
+    return used;
+}
+
+void repeat_budget::count_request(std::string_view service, time_point now)
+{
+    usage& used = usage_of(service, now);
+    ++used.requests[static_cast<std::size_t>(used.current) % kept_slots];
+}
+
+bool repeat_budget::take(std::string_view service, std::size_t nodes, time_point now)
+{
+    usage& used = usage_of(service, now);
+    // A window of the limit may begin anywhere in a slot: repeats are counted over one slot more
+    // than a window and requests over one slot less.
+    std::uint64_t repeats = 0;
+    std::uint64_t requests = 0;
+    for (std::size_t age = 0; age <= slots_per_window; ++age) {
+        const std::size_t index =
+            static_cast<std::size_t>(used.current - static_cast<std::int64_t>(age)) % kept_slots;
+        repeats += used.repeats[index];
+        requests += age < slots_per_window ? used.requests[index] : 0;
+    }
+    const double slack = options_.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const double limit =
+        options_.used_share * (options_.ratio * static_cast<double>(requests) + slack);
+    if (static_cast<double>(repeats + 1) > limit) {
+        return false;
+    }
+    ++used.repeats[static_cast<std::size_t>(used.current) % kept_slots];
+    return true;
+}
+
+} // namespace agatespread
