sidecar: callers' connections by descriptors, reset on cancel, local domain first

Change: limits from the settings; RST on cancel; stop after the last connection is closed; 0.35 and 0.12 of the budget for lost and failed requests; other domains only when the own one would answer late.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -117,6 +117,12 @@
     /// Stops accepting connections; requests in flight are still answered.
     void stop_accepting();
 
+    /// Closes the connections that wait for a request.
+    void close_idle();
+
+    /// Returns the number of open connections.
+    std::size_t connections() const;
+
     struct impl;
     explicit http_server(std::unique_ptr<impl> state);
 
--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -22,6 +22,7 @@
     reported_load load;
     std::uint32_t sent_since = 0;         ///< Requests sent by this node since the report.
     std::chrono::nanoseconds distance{0}; ///< Round trip to the upstream's node.
+    bool local_domain = true;
 };
 
 /// The weights of a placement.
@@ -29,6 +30,9 @@
     /// Costs within this share of the service time count as equal, so that nodes with the same
     /// reports do not all choose the same upstream.
     double spread = 0.25;
+    /// Part of the time to the target latency that a request may take in the own failure domain
+    /// before it goes to another one; the rest absorbs the spread of service times.
+    double local_share = 0.8;
     /// Assumed before an upstream has answered anything.
     std::chrono::nanoseconds unknown_service_time = std::chrono::milliseconds(100);
 };
@@ -40,9 +44,11 @@
 /// Chooses the upstream that is expected to answer first, or nothing without candidates.
 ///
 /// Load pattern: steady load near the capacity, with upstreams of different speeds and a failure
-/// domain whose callers need more slots than it has. A nearby upstream wins until the wait for
-/// its slots exceeds the way to another failure domain.
+/// domain whose callers need more slots than it has. Requests stay in their failure domain, as
+/// links between domains are slow and expensive, until its upstreams are expected to answer
+/// later than the local share of `time_left`; then the shortest expected time decides.
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
+                                           std::chrono::nanoseconds time_left,
                                            const placement_options& options,
                                            const random_source& random);
 
--- a/include/agatespread/repeat_budget.h
+++ b/include/agatespread/repeat_budget.h
@@ -16,7 +16,18 @@
     double ratio = 0.2; ///< Repeats per request in any window.
     double slack = 0;   ///< Repeats in any window beyond the ratio, for all nodes together.
     std::chrono::milliseconds window = std::chrono::seconds(10);
-    double used_share = 0.5; ///< Of the limit; the rest is for the calls that repeats make.
+    /// Part of the limit for repeats of lost and refused requests. The rest is for the calls that
+    /// a repeat makes to further services, about 1.4 for each, which count as repeats there.
+    double used_share = 0.35;
+    /// Part of the limit up to which failures of the upstream itself are repeated; a failure
+    /// often has a cause that the next upstream shares.
+    double failure_share = 0.12;
+};
+
+/// Why a request is sent again.
+enum class repeat_reason : std::uint8_t {
+    lost,    ///< It was refused by its upstream, or its answer was lost.
+    failure, ///< The upstream answered with a failure.
 };
 
 /// Limits how many requests this node sends to a second upstream.
@@ -26,7 +37,7 @@
 ///
 ///     repeat_budget budget({});
 ///     budget.count_request("charts", now);
-///     if (budget.take("charts", nodes, now)) { /* send again */ }
+///     if (budget.take("charts", repeat_reason::lost, nodes, now)) { /* send again */ }
 class repeat_budget {
 public:
     explicit repeat_budget(const repeat_budget_options& options);
@@ -35,7 +46,7 @@
     void count_request(std::string_view service, time_point now);
 
     /// Takes one repeat if the budget holds it; `nodes` share the slack.
-    bool take(std::string_view service, std::size_t nodes, time_point now);
+    bool take(std::string_view service, repeat_reason reason, std::size_t nodes, time_point now);
 
 private:
     static constexpr std::size_t slots_per_window = 10;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -69,6 +69,13 @@
     return duration_cast<milliseconds>(deadline_ - owner_->loop.now());
 }
 
+milliseconds caller_request::time_to_target() const
+{
+    const time_point now = owner_->loop.now();
+    const bool on_time = rule_->target_latency.count() > 0 && target_ > now;
+    return duration_cast<milliseconds>((on_time ? target_ : deadline_) - now);
+}
+
 std::uint64_t caller_request::fingerprint() const
 {
     const http_request& request = exchange_->request();
@@ -169,6 +176,7 @@
             there.address = peer.call_address;
             there.load.load = peer.load;
             there.load.sent_since = peer.sent_since;
+            there.load.local_domain = peer.local_domain;
             there.load.distance = peer.local_domain ? near_distance : far_distance;
             result.push_back(std::move(there));
         }
@@ -185,7 +193,7 @@
         loads.push_back(each.load);
     }
     const std::optional<std::size_t> chosen =
-        choose_upstream(loads, owner_->settings.placement, owner_->random);
+        choose_upstream(loads, time_to_target(), owner_->settings.placement, owner_->random);
     if (!chosen) {
         if (may_have_run_) {
             fail(502, "no_other_upstream");
@@ -288,8 +296,9 @@
     case answer_outcome::answered:
         ++arrivals_;
         if (response.status >= 500 && rule_->idempotent && arrivals_ < rule_->max_attempts &&
-            take_repeat()) {
+            !destinations().empty() && take_repeat(repeat_reason::failure)) {
             may_have_run_ = true;
+            failure_ = std::move(response);
             attempt();
             return;
         }
@@ -313,7 +322,7 @@
         return;
     case answer_outcome::rejected:
         ++arrivals_;
-        if (arrivals_ < rule_->max_attempts && take_repeat()) {
+        if (arrivals_ < rule_->max_attempts && take_repeat(repeat_reason::lost)) {
             attempt();
             return;
         }
@@ -338,12 +347,12 @@
     }
 }
 
-bool caller_request::take_repeat()
+bool caller_request::take_repeat(repeat_reason reason)
 {
     if (left() < shortest_repeat) {
         return false;
     }
-    if (!owner_->repeats.take(service_, owner_->others.size(), owner_->loop.now())) {
+    if (!owner_->repeats.take(service_, reason, owner_->others.size(), owner_->loop.now())) {
         owner_->counters.budget_empty.add();
         return false;
     }
@@ -374,7 +383,7 @@
     ++arrivals_;
     may_have_run_ = true;
     if (rule_->idempotent && arrivals_ < rule_->max_attempts && !destinations().empty() &&
-        take_repeat()) {
+        take_repeat(repeat_reason::lost)) {
         owner_->log.request("request_repeated", context_.request_id,
                             {{"reason", answer.reason}, {"rule", rule_->name}, {"left", left()}},
                             owner_->loop.now());
@@ -411,6 +420,11 @@
     if (done_) {
         return;
     }
+    if (failure_) {
+        // The upstream's own failure says more than the refusal of its repeat.
+        deliver(*std::exchange(failure_, std::nullopt));
+        return;
+    }
     series_->failed.add();
     owner_->log.request("request_failed", context_.request_id,
                         {{"status", status},
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -36,7 +36,7 @@
     void send_to(const destination& to, const forwarded_call& call);
     void peer_ended(const node_id& node, http_result result);
     void ended(const node_id& node, forwarded_answer answer, http_response response);
-    bool take_repeat();
+    bool take_repeat(repeat_reason reason);
     void after_refusal(const forwarded_answer& answer);
     void after_failure(const forwarded_answer& answer, int status);
     void refuse(std::string_view reason, std::chrono::milliseconds retry_after);
@@ -46,6 +46,7 @@
     void cancel();
     void finish();
     std::chrono::milliseconds left() const;
+    std::chrono::milliseconds time_to_target() const;
     std::uint64_t fingerprint() const;
 
     std::shared_ptr<sidecar::impl> owner_;
@@ -60,8 +61,9 @@
     time_point target_;
     subscription timer_;
     std::vector<node_id> tried_;
-    std::uint32_t arrivals_ = 0; ///< Upstreams that the request may have reached.
-    std::uint32_t refusals_ = 0; ///< Gates that refused it.
+    std::uint32_t arrivals_ = 0;           ///< Upstreams that the request may have reached.
+    std::uint32_t refusals_ = 0;           ///< Gates that refused it.
+    std::optional<http_response> failure_; ///< Of an upstream, while the request is repeated.
     bool may_have_run_ = false;
     bool suspect_ = false;
     bool done_ = false;
--- a/src/curl_loop.cpp
+++ b/src/curl_loop.cpp
@@ -145,6 +145,10 @@
         socket->descriptor.release();
         loop->sockets_.erase(found);
     }
+    if (loop->resetting_) {
+        const linger reset{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
     return ::close(fd);
 }
 
@@ -191,7 +195,9 @@
 
 void curl_loop::remove(CURL* easy)
 {
+    resetting_ = true;
     curl_multi_remove_handle(multi_, easy);
+    resetting_ = false;
     ended_transfers_.erase(std::remove_if(ended_transfers_.begin(), ended_transfers_.end(),
                                           [easy](const std::pair<CURL*, CURLcode>& entry) {
                                               return entry.first == easy;
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -38,7 +38,8 @@
     /// Starts a transfer.
     void add(CURL* easy);
 
-    /// Ends a transfer without a call of the hook.
+    /// Ends a transfer without a call of the hook; its connection is reset, so that bytes which a
+    /// partition holds up do not arrive after the end.
     void remove(CURL* easy);
 
 private:
@@ -65,6 +66,7 @@
     std::vector<curl_socket_t> without_ports_; ///< Were not connected when last looked at.
     std::deque<std::pair<CURL*, CURLcode>> ended_transfers_;
     bool reporting_ = false;
+    bool resetting_ = false; ///< Connections that close now are reset.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -33,6 +33,7 @@
                 const std::shared_ptr<server_connection>& connection,
                 restinio::request_id_t request_id, restinio::impl::connection_handle_t handle);
     void check_timeouts(time_point now);
+    void close_idle();
     void close_all();
 
     asio::io_context& context;
@@ -70,6 +71,7 @@
     void respond(restinio::request_id_t id, http_response response);
     void refuse(const pending_response& pending, const request_fault& fault);
     void check_timeouts(time_point now);
+    bool idle() const { return pending_.empty() && message_bytes_ == 0 && !writing_; }
     void abort();
     const std::shared_ptr<server_state>& server() const { return server_; }
 
@@ -306,6 +308,20 @@
     }
 }
 
+void server_state::close_idle()
+{
+    std::vector<std::shared_ptr<server_connection>> all;
+    for (const std::pair<const restinio::connection_id_t, std::shared_ptr<server_connection>>&
+             entry : connections) {
+        if (entry.second->idle()) {
+            all.push_back(entry.second);
+        }
+    }
+    for (const std::shared_ptr<server_connection>& connection : all) {
+        connection->abort();
+    }
+}
+
 void server_state::close_all()
 {
     open = false;
@@ -596,6 +612,16 @@
     impl_->state->limits = limits;
 }
 
+void http_server::close_idle()
+{
+    impl_->state->close_idle();
+}
+
+std::size_t http_server::connections() const
+{
+    return impl_->state->connections.size();
+}
+
 void http_server::stop_accepting()
 {
     impl_->state->accepting = false;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -19,12 +19,16 @@
 }
 
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
-                                           const placement_options& options,
+                                           nanoseconds time_left, const placement_options& options,
                                            const random_source& random)
 {
     constexpr std::uint64_t steps = 1024;
-    std::optional<std::size_t> best;
-    nanoseconds best_cost{0};
+    struct best_choice {
+        std::optional<std::size_t> index;
+        nanoseconds cost{0};
+    };
+    best_choice near;
+    best_choice any;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const placement_candidate& candidate = candidates[index];
         const nanoseconds service = candidate.load.service_time.count() > 0
@@ -35,12 +39,20 @@
         const nanoseconds noise(static_cast<std::int64_t>(static_cast<double>(service.count()) *
                                                           options.spread * draw));
         const nanoseconds cost = expected_time(candidate, options) + noise;
-        if (!best || cost < best_cost) {
-            best = index;
-            best_cost = cost;
+        const auto take = [index, cost](best_choice& best) {
+            if (!best.index || cost < best.cost) {
+                best.index = index;
+                best.cost = cost;
+            }
+        };
+        take(any);
+        if (candidate.local_domain) {
+            take(near);
         }
     }
-    return best;
+    const nanoseconds local_limit(static_cast<std::int64_t>(
+        static_cast<double>(std::max(time_left, nanoseconds(0)).count()) * options.local_share));
+    return near.index && near.cost <= local_limit ? near.index : any.index;
 }
 
 } // namespace agatespread
--- a/src/repeat_budget.cpp
+++ b/src/repeat_budget.cpp
@@ -31,7 +31,8 @@
     ++used.requests[static_cast<std::size_t>(used.current) % kept_slots];
 }
 
-bool repeat_budget::take(std::string_view service, std::size_t nodes, time_point now)
+bool repeat_budget::take(std::string_view service, repeat_reason reason, std::size_t nodes,
+                         time_point now)
 {
     usage& used = usage_of(service, now);
     // A window of the limit may begin anywhere in a slot: repeats are counted over one slot more
@@ -45,8 +46,9 @@
         requests += age < slots_per_window ? used.requests[index] : 0;
     }
     const double slack = options_.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
-    const double limit =
-        options_.used_share * (options_.ratio * static_cast<double>(requests) + slack);
+    const double share =
+        reason == repeat_reason::lost ? options_.used_share : options_.failure_share;
+    const double limit = share * (options_.ratio * static_cast<double>(requests) + slack);
     if (static_cast<double>(repeats + 1) > limit) {
         return false;
     }
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds probe_period{500};
 constexpr milliseconds probe_timeout{400};
 
+// A timer that fires this late shows a host that is short of processor time or was suspended.
+constexpr milliseconds late_loop{200};
+
 // How often queued requests are looked at for their deadlines.
 constexpr milliseconds gate_check_period{20};
 
@@ -36,16 +39,16 @@
 // The platform takes a host out of use after two failed readiness checks, one each second;
 // until then new requests still arrive.
 constexpr milliseconds stop_linger{2300};
-constexpr milliseconds stop_check_period{50};
-constexpr milliseconds stop_quiet{300}; ///< Without a request before the process ends.
+constexpr milliseconds stop_check_period{20};
 
 constexpr std::string_view configuration_path = "/agatespread/configuration";
 
 constexpr std::size_t client_connections_per_host = 200;
 
-http_limits limits_of(const caller_limits& limits)
+http_limits limits_of(const caller_limits& limits, std::size_t connections)
 {
     http_limits result;
+    result.connections = connections;
     result.header_bytes = limits.header_bytes;
     result.body_bytes = limits.body_bytes;
     result.read_timeout = limits.header_timeout;
@@ -106,24 +109,24 @@
 {
     const std::shared_ptr<impl> self = shared_from_this();
     const std::weak_ptr<impl> weak = self;
-    absl::StatusOr<std::unique_ptr<http_server>> callers =
-        http_server::listen(loop, settings.caller_address, limits_of(caller_limits()),
-                            [weak](const std::shared_ptr<http_exchange>& exchange) {
-                                if (const std::shared_ptr<impl> live = weak.lock()) {
-                                    live->serve_call(exchange);
-                                }
-                            });
+    absl::StatusOr<std::unique_ptr<http_server>> callers = http_server::listen(
+        loop, settings.caller_address, limits_of(caller_limits(), settings.caller_connections),
+        [weak](const std::shared_ptr<http_exchange>& exchange) {
+            if (const std::shared_ptr<impl> live = weak.lock()) {
+                live->serve_call(exchange);
+            }
+        });
     if (!callers.ok()) {
         return callers.status();
     }
     caller_listener = *std::move(callers);
-    absl::StatusOr<std::unique_ptr<http_server>> calls =
-        http_server::listen(loop, settings.call_address, limits_of(caller_limits()),
-                            [weak](const std::shared_ptr<http_exchange>& exchange) {
-                                if (const std::shared_ptr<impl> live = weak.lock()) {
-                                    live->serve_peer(exchange);
-                                }
-                            });
+    absl::StatusOr<std::unique_ptr<http_server>> calls = http_server::listen(
+        loop, settings.call_address, limits_of(caller_limits(), settings.peer_connections),
+        [weak](const std::shared_ptr<http_exchange>& exchange) {
+            if (const std::shared_ptr<impl> live = weak.lock()) {
+                live->serve_peer(exchange);
+            }
+        });
     if (!calls.ok()) {
         return calls.status();
     }
@@ -201,7 +204,7 @@
     table = *std::move(read);
     document = next;
     counters.version.set(static_cast<std::int64_t>(table->version()));
-    caller_listener->set_limits(limits_of(table->limits()));
+    caller_listener->set_limits(limits_of(table->limits(), settings.caller_connections));
     log.change("configuration_in_force", {{"version", table->version()},
                                           {"before", before},
                                           {"rules", static_cast<std::uint64_t>(table->size())},
@@ -294,7 +297,15 @@
 
 void sidecar::impl::schedule_report()
 {
-    report_timer = loop.after(others.report_period(), [this](time_point) {
+    const milliseconds period = others.report_period();
+    report_timer = loop.after(period, [this, due = loop.now() + period](time_point now) {
+        const milliseconds late = std::chrono::duration_cast<milliseconds>(now - due);
+        if (late >= late_loop) {
+            log.change("loop_late",
+                       {{"by", late},
+                        {"callers_in_flight", static_cast<std::uint64_t>(in_flight)},
+                        {"at_gate", static_cast<std::uint64_t>(gate_requests.size())}});
+        }
         send_report();
         schedule_report();
     });
@@ -550,12 +561,13 @@
 
 void sidecar::impl::check_stop(time_point now, const std::function<void()>& done)
 {
-    const bool idle = in_flight == 0 && gate_requests.empty();
-    const bool late = now - stop_started >= settings.stop_deadline;
-    if (now - stop_started < stop_linger) {
-        return;
-    }
+    // A request that crosses the close of an idle connection has not been read, and its caller
+    // may send it again; one that was read is answered first.
     caller_listener->stop_accepting();
+    caller_listener->close_idle();
+    const bool idle =
+        in_flight == 0 && gate_requests.empty() && caller_listener->connections() == 0;
+    const bool late = now - stop_started >= settings.stop_deadline;
     if (!idle && !late) {
         stop_timer =
             loop.after(stop_check_period, [this, done](time_point at) { check_stop(at, done); });
@@ -564,7 +576,7 @@
     log.change("stopped", {{"callers_in_flight", static_cast<std::uint64_t>(in_flight)},
                            {"gate_in_flight", static_cast<std::uint64_t>(gate_requests.size())},
                            {"log_lines_dropped", log.dropped()}});
-    stop_timer = loop.after(stop_quiet, [done](time_point) { done(); });
+    done();
 }
 
 absl::StatusOr<std::unique_ptr<sidecar>> sidecar::start(event_loop& loop, platform& driver,
