sidecar: connections close after refusals and are relieved near the limit

Change: refusals close their connection; from 0.8 of the limit on, connections idle for 1 s are closed.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -72,6 +72,8 @@
     virtual const http_request& request() const = 0;
 
     /// Sends the response; only the first call has an effect, from any thread.
+    ///
+    /// A field "Connection: close" closes the connection after the response.
     virtual void respond(http_response response) = 0;
 
     /// Returns whether the request came from a process on this host.
@@ -117,8 +119,8 @@
     /// Stops accepting connections; requests in flight are still answered.
     void stop_accepting();
 
-    /// Closes the connections that wait for a request.
-    void close_idle();
+    /// Closes the connections that have waited for a request for at least this time.
+    void close_idle(std::chrono::milliseconds waited = std::chrono::milliseconds(0));
 
     /// Returns the number of open connections.
     std::size_t connections() const;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -42,6 +42,8 @@
     http_response response;
     response.status = status;
     response.headers.add("Content-Type", "text/plain");
+    // Callers come back on a new connection, so that this one would only wait to be closed.
+    response.headers.add("Connection", "close");
     if (retry_after.count() > 0) {
         response.headers.add("Retry-After",
                              fmt::format("{:.3f}", static_cast<double>(retry_after.count()) / 1e3));
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -33,7 +33,7 @@
                 const std::shared_ptr<server_connection>& connection,
                 restinio::request_id_t request_id, restinio::impl::connection_handle_t handle);
     void check_timeouts(time_point now);
-    void close_idle();
+    void close_idle(std::chrono::milliseconds waited);
     void close_all();
 
     asio::io_context& context;
@@ -72,6 +72,7 @@
     void refuse(const pending_response& pending, const request_fault& fault);
     void check_timeouts(time_point now);
     bool idle() const { return pending_.empty() && message_bytes_ == 0 && !writing_; }
+    time_point last_activity() const { return last_activity_; }
     void abort();
     const std::shared_ptr<server_state>& server() const { return server_; }
 
@@ -308,12 +309,13 @@
     }
 }
 
-void server_state::close_idle()
+void server_state::close_idle(std::chrono::milliseconds waited)
 {
+    const time_point before = std::chrono::steady_clock::now() - waited;
     std::vector<std::shared_ptr<server_connection>> all;
     for (const std::pair<const restinio::connection_id_t, std::shared_ptr<server_connection>>&
              entry : connections) {
-        if (entry.second->idle()) {
+        if (entry.second->idle() && entry.second->last_activity() <= before) {
             all.push_back(entry.second);
         }
     }
@@ -412,7 +414,8 @@
     }
     pending_response pending = std::move(*found);
     pending_.erase(found);
-    pending.how.keep_alive = pending.how.keep_alive && server_->accepting;
+    pending.how.keep_alive = pending.how.keep_alive && server_->accepting &&
+                             !equal_ignoring_case(response.headers.get("Connection"), "close");
     write(pending, std::move(response));
 }
 
@@ -612,9 +615,9 @@
     impl_->state->limits = limits;
 }
 
-void http_server::close_idle()
+void http_server::close_idle(std::chrono::milliseconds waited)
 {
-    impl_->state->close_idle();
+    impl_->state->close_idle(waited);
 }
 
 std::size_t http_server::connections() const
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -21,6 +21,10 @@
 // A timer that fires this late shows a host that is short of processor time or was suspended.
 constexpr milliseconds late_loop{200};
 
+// Near the limit of connections, those are closed that were idle for longer than most callers
+// take until their next request.
+constexpr milliseconds relieved_idle_time = std::chrono::seconds(1);
+
 // How often queued requests are looked at for their deadlines.
 constexpr milliseconds gate_check_period{20};
 
@@ -306,11 +310,26 @@
                         {"callers_in_flight", static_cast<std::uint64_t>(in_flight)},
                         {"at_gate", static_cast<std::uint64_t>(gate_requests.size())}});
         }
+        relieve_connections();
         send_report();
         schedule_report();
     });
 }
 
+void sidecar::impl::relieve_connections()
+{
+    const std::size_t limit = settings.caller_connections;
+    if (caller_listener->connections() * 10 < limit * 8) {
+        return;
+    }
+    // At the limit, callers would wait for a place until they give up, and their requests would
+    // be read after that. A caller whose idle connection closes sends its request again.
+    log.change("connections_relieved",
+               {{"connections", static_cast<std::uint64_t>(caller_listener->connections())},
+                {"limit", static_cast<std::uint64_t>(limit)}});
+    caller_listener->close_idle(relieved_idle_time);
+}
+
 void sidecar::impl::send_report()
 {
     const time_point now = loop.now();
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -70,6 +70,7 @@
 
     void schedule_report();
     void send_report();
+    void relieve_connections();
     peer_report make_report() const;
     void take_report(std::string_view bytes);
     void share_crashes(const std::vector<crash_report>& reports);
