--- a/include/agatespread/memory_platform.h
+++ b/include/agatespread/memory_platform.h
@@ -56,6 +56,8 @@
     void commit(transaction request, callback<transaction_result> done) override;
     void read(std::string key, callback<std::optional<std::string>> done) override;
     void scan(std::string prefix, std::size_t limit, callback<std::vector<row>> done) override;
+    void follow(std::string prefix, std::uint64_t after, std::chrono::milliseconds wait,
+                callback<row_changes> done) override;
     void put_object(std::string id, std::string bytes, callback<bool> done) override;
     void get_object(std::string id, callback<std::string> done) override;
 
@@ -71,6 +73,9 @@
     /// Lets the writes with the fate `applied_late` take effect, in their order.
     void apply_late_writes();
 
+    /// Forgets all changes so far, so that feeds that are behind get "history_lost".
+    void forget_history();
+
     /// Returns how many calls were received.
     const platform_counts& counts() const { return counts_; }
 
@@ -88,6 +93,17 @@
     absl::Status admit_read();
     absl::Status admit_write();
     bool within_limit(window& used, std::uint64_t limit) const;
+    /// A call of `follow` that waits for a change.
+    struct follower {
+        std::string prefix;
+        std::uint64_t after = 0;
+        callback<row_changes> done;
+        subscription timeout;
+    };
+
+    row_changes changes_of(const std::string& prefix, std::uint64_t after) const;
+    void record(const row_write& change);
+    void wake_followers();
     void after_delay(std::function<void()> call);
     template <typename Result>
     void write(std::function<Result()> apply, callback<Result> done);
@@ -104,6 +120,11 @@
     table rows_;
     table stale_rows_;
     table objects_;
+    std::uint64_t revision_ = 1;    ///< Of the newest change.
+    std::uint64_t known_since_ = 1; ///< Changes after this revision are known.
+    std::map<std::uint64_t, row_write> history_;
+    std::map<std::uint64_t, follower> followers_;
+    std::uint64_t next_follower_ = 0;
     std::deque<write_fate> fates_;
     std::deque<std::function<void()>> late_writes_;
     std::uint64_t next_timer_ = 0;
--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -81,7 +81,9 @@
     repeat_budget_options repeats;
     peer_options peers;
     placement_options placement;
-    admission_options admission;
+    /// Without a ramp: a cold upstream is slower but has all of its slots, and the gate learns
+    /// its service time.
+    admission_options admission{100, std::chrono::milliseconds(0)};
     decision_log_options log;
 };
 
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -237,9 +237,10 @@
     const std::uint32_t attempt = attempt_;
     const std::shared_ptr<gate_request> local = std::make_shared<gate_request>(
         owner_, id, std::move(call), std::move(request),
-        [self = shared_from_this(), attempt](forwarded_answer answer, http_response response) {
+        [self = shared_from_this(), attempt](const forwarded_answer& answer,
+                                             http_response response) {
             if (!self->done_ && attempt == self->attempt_) {
-                self->ended(self->owner_->settings.node, std::move(answer), std::move(response));
+                self->ended(self->owner_->settings.node, answer, std::move(response));
             }
         });
     owner_->gate_requests.emplace(id, local);
@@ -275,7 +276,7 @@
         std::optional<forwarded_answer> answer = read_answer(result.response.headers);
         if (answer) {
             owner_->others.answered(node, answer->load, now);
-            ended(node, std::move(*answer), std::move(result.response));
+            ended(node, *answer, std::move(result.response));
             return;
         }
         result.error = "not an answer of a node";
@@ -288,10 +289,11 @@
     lost.reason = sent ? "peer_lost" : "peer_unreachable";
     owner_->log.request("peer_failed", context_.request_id,
                         {{"peer", node}, {"reason", lost.reason}, {"error", result.error}}, now);
-    ended(node, std::move(lost), {});
+    ended(node, lost, {});
 }
 
-void caller_request::ended(const node_id& node, forwarded_answer answer, http_response response)
+void caller_request::ended(const node_id& node, const forwarded_answer& answer,
+                           http_response response)
 {
     cancel_attempt_ = nullptr;
     switch (answer.outcome) {
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -35,7 +35,7 @@
     void send_here(forwarded_call call);
     void send_to(const destination& to, const forwarded_call& call);
     void peer_ended(const node_id& node, http_result result);
-    void ended(const node_id& node, forwarded_answer answer, http_response response);
+    void ended(const node_id& node, const forwarded_answer& answer, http_response response);
     bool take_repeat(repeat_reason reason);
     void after_refusal(const forwarded_answer& answer);
     void after_failure(const forwarded_answer& answer, int status);
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -264,7 +264,7 @@
     facts.reason = std::move(reason);
     const answer_hook call = std::exchange(answer_, nullptr);
     owner_->gate_requests.erase(id_);
-    call(std::move(facts), std::move(response));
+    call(facts, std::move(response));
 }
 
 void gate_request::cancel()
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -13,7 +13,7 @@
 /// The gate is the only way to the upstream: a request that is refused here has not run.
 class gate_request : public std::enable_shared_from_this<gate_request> {
 public:
-    using answer_hook = std::function<void(forwarded_answer, http_response)>;
+    using answer_hook = std::function<void(const forwarded_answer&, http_response)>;
 
     gate_request(std::shared_ptr<sidecar::impl> owner, std::uint64_t id, forwarded_call call,
                  http_request request, answer_hook answer);
--- a/src/memory_platform.cpp
+++ b/src/memory_platform.cpp
@@ -1,6 +1,7 @@
 #include <agatespread/memory_platform.h>
 
 #include <utility>
+#include <vector>
 
 namespace agatespread {
 
@@ -161,10 +162,98 @@
         else {
             rows_.erase(change.key);
         }
+        record(change);
     }
+    wake_followers();
     return result;
 }
 
+void memory_platform::record(const row_write& change)
+{
+    history_[++revision_] = change;
+}
+
+void memory_platform::forget_history()
+{
+    history_.clear();
+    known_since_ = revision_;
+}
+
+row_changes memory_platform::changes_of(const std::string& prefix, std::uint64_t after) const
+{
+    const auto matches = [&prefix](const std::string& key) {
+        return key.compare(0, prefix.size(), prefix) == 0;
+    };
+    row_changes changes;
+    changes.revision = revision_;
+    changes.complete = after == 0;
+    if (changes.complete) {
+        for (const std::pair<const std::string, std::string>& entry : rows_) {
+            if (matches(entry.first)) {
+                changes.rows.push_back({entry.first, entry.second});
+            }
+        }
+        return changes;
+    }
+    for (auto entry = history_.upper_bound(after); entry != history_.end(); ++entry) {
+        if (matches(entry->second.key)) {
+            changes.rows.push_back(entry->second);
+        }
+    }
+    return changes;
+}
+
+void memory_platform::wake_followers()
+{
+    std::vector<std::pair<callback<row_changes>, row_changes>> ready;
+    for (auto each = followers_.begin(); each != followers_.end();) {
+        row_changes changes = changes_of(each->second.prefix, each->second.after);
+        if (changes.rows.empty()) {
+            ++each;
+            continue;
+        }
+        ready.emplace_back(std::move(each->second.done), std::move(changes));
+        each = followers_.erase(each);
+    }
+    for (std::pair<callback<row_changes>, row_changes>& each : ready) {
+        each.first(std::move(each.second));
+    }
+}
+
+void memory_platform::follow(std::string prefix, std::uint64_t after,
+                             std::chrono::milliseconds wait, callback<row_changes> done)
+{
+    const absl::Status admitted = admit_read();
+    if (!admitted.ok()) {
+        after_delay([admitted, done] { done(admitted); });
+        return;
+    }
+    if (after != 0 && after < known_since_) {
+        after_delay([done] {
+            done(platform_error(absl::StatusCode::kOutOfRange, "history_lost",
+                                "the changes are no longer known"));
+        });
+        return;
+    }
+    row_changes changes = changes_of(prefix, after);
+    if (changes.complete || !changes.rows.empty()) {
+        after_delay([done, changes = std::move(changes)] { done(changes); });
+        return;
+    }
+    const std::uint64_t id = next_follower_++;
+    subscription timeout = timers_.after(wait, [this, id](time_point) {
+        const auto found = followers_.find(id);
+        if (found != followers_.end()) {
+            const callback<row_changes> call = std::move(found->second.done);
+            row_changes none;
+            none.revision = revision_;
+            followers_.erase(found);
+            call(std::move(none));
+        }
+    });
+    followers_[id] = {std::move(prefix), after, std::move(done), std::move(timeout)};
+}
+
 void memory_platform::commit(transaction request, callback<transaction_result> done)
 {
     write<transaction_result>([this, request = std::move(request)] { return apply(request); },
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -23,8 +23,14 @@
 class fields {
 public:
     explicit fields(std::string_view bytes)
-        : object_(json::from_cbor(bytes.begin(), bytes.end(), true, false))
     {
+        // The parser throws for absurd sizes even where it is told not to.
+        try {
+            object_ = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        }
+        catch (const json::exception&) {
+            object_ = json(json::value_t::discarded);
+        }
         if (!object_.is_object()) {
             wrong_ = "(message)";
         }
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -1,13 +1,17 @@
 #include <agatespread/base.h>
 #include <agatespread/platform.h>
 
+#include <utility>
+
 namespace agatespread {
 
 void platform::follow(std::string prefix, std::uint64_t /*after*/,
                       std::chrono::milliseconds /*wait*/, callback<row_changes> done)
 {
-    done(layer_error(absl::StatusCode::kUnimplemented, "platform", "unimplemented",
-                     "the driver has no feed of " + prefix));
+    const std::string wanted = std::move(prefix);
+    std::exchange(done,
+                  nullptr)(layer_error(absl::StatusCode::kUnimplemented, "platform",
+                                       "unimplemented", "the driver has no feed of " + wanted));
 }
 
 } // namespace agatespread
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -648,8 +648,10 @@
     impl_->log.change("stopping",
                       {{"callers_in_flight", static_cast<std::uint64_t>(impl_->in_flight)}});
     impl_->send_report();
-    impl_->stop_timer = impl_->loop.after(
-        stop_linger, [raw = impl_.get(), done](time_point now) { raw->check_stop(now, done); });
+    impl_->stop_timer =
+        impl_->loop.after(stop_linger, [raw = impl_.get(), call = std::move(done)](time_point now) {
+            raw->check_stop(now, call);
+        });
 }
 
 decision_log& sidecar::log()
--- a/test/admission-test.cpp
+++ b/test/admission-test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <set>
 
 namespace agatespread {
@@ -234,3 +235,93 @@
 }
 
 } // namespace agatespread
+
+namespace agatespread {
+
+namespace {
+
+admission_request with_target(std::uint64_t id, std::uint8_t priority, milliseconds deadline,
+                              milliseconds target)
+{
+    admission_request request = request_of(id, priority, deadline);
+    request.target = start + target;
+    return request;
+}
+
+} // namespace
+
+// Guards against slots spent on late answers under overload while others could still be on time:
+// a late urgent call waits behind one that meets its target.
+TEST(admission, calls_on_time_go_before_late_ones)
+{
+    admission gate(without_ramp());
+    gate.set_upstream(upstream_state::ready, 4, start);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        gate.offer(request_of(id, 5, seconds(9)), start);
+    }
+    EXPECT_TRUE(gate.offer(with_target(5, 0, seconds(9), milliseconds(-1)), start).run.empty());
+    EXPECT_TRUE(gate.offer(with_target(6, 9, seconds(9), seconds(1)), start).run.empty());
+    EXPECT_EQ(gate.finish(1, false, start).run, std::vector<std::uint64_t>({6}));
+    EXPECT_EQ(gate.finish(2, false, start).run, std::vector<std::uint64_t>({5}));
+}
+
+// Guards against a queue of late calls in which nobody is served in time: at most half a call for
+// each slot waits, further late ones are refused at once and may come back.
+TEST(admission, late_calls_are_refused_while_others_wait)
+{
+    admission gate(without_ramp());
+    gate.set_upstream(upstream_state::ready, 4, start);
+    const time_point now = learn(gate, milliseconds(100));
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        gate.offer(request_of(id, 5, seconds(9)), now);
+    }
+    EXPECT_TRUE(gate.offer(with_target(5, 5, seconds(9), milliseconds(1)), now).refused.empty());
+    EXPECT_TRUE(gate.offer(with_target(6, 5, seconds(9), milliseconds(1)), now).refused.empty());
+    const admission_actions refused =
+        gate.offer(with_target(7, 5, seconds(9), milliseconds(1)), now);
+    ASSERT_EQ(refused.refused.size(), 1U);
+    EXPECT_EQ(refused.refused[0].reason, refusal_reason::too_late);
+    EXPECT_GT(refused.refused[0].retry_after, milliseconds(0));
+    EXPECT_TRUE(gate.offer(with_target(8, 5, seconds(9), seconds(2)), now).refused.empty());
+}
+
+// Replays overload at twice the capacity and counts the answers within the target: a queue ordered
+// by arrival alone answers nearly all of them late.
+TEST(admission, overload_keeps_answers_on_time)
+{
+    constexpr int slots = 9;
+    constexpr milliseconds service(90);
+    constexpr milliseconds target(300);
+    admission gate(without_ramp());
+    gate.set_upstream(upstream_state::ready, slots, start);
+    std::map<time_point, std::vector<std::uint64_t>> ends;
+    std::map<std::uint64_t, time_point> targets;
+    std::uint64_t next = 0;
+    int on_time = 0;
+    int served = 0;
+    const auto take = [&](const admission_actions& actions, time_point now) {
+        for (const std::uint64_t id : actions.run) {
+            ends[now + service].push_back(id);
+        }
+    };
+    for (int step = 0; step < 10000; step += 5) {
+        const time_point now = start + milliseconds(step);
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const std::vector<std::uint64_t> ended = ends.begin()->second;
+            ends.erase(ends.begin());
+            for (const std::uint64_t id : ended) {
+                ++served;
+                on_time += targets[id] >= now ? 1 : 0;
+                take(gate.finish(id, true, now), now);
+            }
+        }
+        // 200 calls a second on slots for 100.
+        targets[++next] = now + target;
+        admission_request request{next, 5, now + seconds(1), 0, now + target};
+        take(gate.offer(request, now), now);
+    }
+    EXPECT_GT(served, 950);
+    EXPECT_GT(on_time, served * 9 / 10);
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/test/peers-test.cpp
@@ -0,0 +1,180 @@
+#include <agatespread/peers.h>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start = time_point(std::chrono::hours(1));
+
+peer_report report_of(const std::string& node, std::uint64_t sequence, std::uint64_t process = 1)
+{
+    peer_report report;
+    report.entry = {node, "cairo", "rounds", "10.0.0.1:1", "10.0.0.1:2"};
+    report.process = process;
+    report.sequence = sequence;
+    report.state = upstream_state::ready;
+    report.load = {3, 1, 9, milliseconds(90)};
+    report.in_force = 4;
+    return report;
+}
+
+peers directory()
+{
+    return peers("own", "cairo", {});
+}
+
+} // namespace
+
+TEST(peers, report_survives_its_encoding)
+{
+    peer_report report = report_of("a", 7);
+    report.crashes.push_back({11, 2, true, milliseconds(600000), {12, 13}});
+    const absl::StatusOr<peer_report> read = decode_report(encode_report(report));
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_TRUE(read->entry == report.entry);
+    EXPECT_EQ(read->process, 1U);
+    EXPECT_EQ(read->sequence, 7U);
+    EXPECT_EQ(read->state, upstream_state::ready);
+    EXPECT_EQ(read->load.running, 3U);
+    EXPECT_EQ(read->load.queued, 1U);
+    EXPECT_EQ(read->load.slots, 9U);
+    EXPECT_EQ(read->load.service_time, milliseconds(90));
+    EXPECT_EQ(read->in_force, 4U);
+    ASSERT_EQ(read->crashes.size(), 1U);
+    EXPECT_EQ(read->crashes[0].fingerprint, 11U);
+    EXPECT_EQ(read->crashes[0].crashes, 2U);
+    EXPECT_TRUE(read->crashes[0].cleared);
+    EXPECT_EQ(read->crashes[0].blocked_for, milliseconds(600000));
+    EXPECT_EQ(read->crashes[0].suspects, (std::vector<std::uint64_t>{12, 13}));
+}
+
+// Guards against a datagram of another writer that ends the process or is half read.
+TEST(peers, damaged_reports_are_rejected)
+{
+    const std::string whole = encode_report(report_of("a", 7));
+    std::mt19937_64 engine(7);
+    int rejected = 0;
+    for (int round = 0; round < 2000; ++round) {
+        std::string bytes = whole;
+        bytes[engine() % bytes.size()] = static_cast<char>(engine());
+        bytes.resize(bytes.size() - engine() % 2);
+        rejected += decode_report(bytes).ok() ? 0 : 1;
+    }
+    EXPECT_GT(rejected, 500);
+    EXPECT_FALSE(decode_report("").ok());
+    EXPECT_FALSE(decode_report(whole.substr(0, whole.size() / 2)).ok());
+    EXPECT_FALSE(decode_entry(std::string(40, '\0')).ok());
+}
+
+// Guards against requests to nodes that are only known from the table and may be gone.
+TEST(peers, peer_is_eligible_after_its_first_report)
+{
+    peers others = directory();
+    others.learn(report_of("a", 1).entry, start);
+    EXPECT_TRUE(others.eligible("rounds", start).empty());
+    EXPECT_EQ(others.all().size(), 1U);
+    EXPECT_TRUE(others.receive(report_of("a", 1), start));
+    ASSERT_EQ(others.eligible("rounds", start).size(), 1U);
+    EXPECT_TRUE(others.eligible("rounds", start)[0].local_domain);
+    EXPECT_TRUE(others.eligible("orders", start).empty());
+}
+
+// Guards against requests that hang at a host without power or behind a partition.
+TEST(peers, silent_peer_gets_nothing)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    EXPECT_EQ(others.eligible("rounds", start + milliseconds(340)).size(), 1U);
+    EXPECT_TRUE(others.eligible("rounds", start + milliseconds(360)).empty());
+    others.receive(report_of("a", 2), start + seconds(5));
+    EXPECT_EQ(others.eligible("rounds", start + seconds(5)).size(), 1U);
+}
+
+// Guards against a delayed report that reopens a leaving upstream, and against a restarted
+// process whose sequence begins again being taken for late.
+TEST(peers, late_reports_are_ignored_and_new_processes_are_not)
+{
+    peers others = directory();
+    peer_report leaving = report_of("a", 9);
+    leaving.state = upstream_state::draining;
+    EXPECT_TRUE(others.receive(leaving, start));
+    EXPECT_FALSE(others.receive(report_of("a", 8), start));
+    EXPECT_TRUE(others.eligible("rounds", start).empty());
+    EXPECT_TRUE(others.receive(report_of("a", 1, 2), start));
+    EXPECT_EQ(others.eligible("rounds", start).size(), 1U);
+}
+
+TEST(peers, failed_peer_gets_nothing_until_its_next_report)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.failed("a", start);
+    EXPECT_TRUE(others.eligible("rounds", start).empty());
+    others.receive(report_of("a", 2), start);
+    EXPECT_EQ(others.eligible("rounds", start).size(), 1U);
+}
+
+TEST(peers, requests_count_until_the_next_report)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.sent("a");
+    others.sent("a");
+    EXPECT_EQ(others.eligible("rounds", start)[0].sent_since, 2U);
+    others.answered("a", {5, 0, 9, milliseconds(80)}, start);
+    EXPECT_EQ(others.eligible("rounds", start)[0].sent_since, 0U);
+    EXPECT_EQ(others.eligible("rounds", start)[0].load.running, 5U);
+}
+
+TEST(peers, highest_reported_version_is_found)
+{
+    peers others = directory();
+    peer_report newer = report_of("b", 1);
+    newer.in_force = 9;
+    others.receive(report_of("a", 1), start);
+    others.receive(newer, start);
+    ASSERT_NE(others.ahead_of(4, start), nullptr);
+    EXPECT_EQ(others.ahead_of(4, start)->node, "b");
+    EXPECT_EQ(others.ahead_of(9, start), nullptr);
+    EXPECT_EQ(others.ahead_of(4, start + seconds(5)), nullptr);
+}
+
+// Guards against reports that grow with the square of the mesh: 120 a second for each node.
+TEST(peers, report_rate_of_a_node_is_bounded)
+{
+    peers others = directory();
+    EXPECT_EQ(others.report_period(), milliseconds(100));
+    for (int node = 0; node < 240; ++node) {
+        others.learn(report_of(std::to_string(node), 1).entry, start);
+    }
+    EXPECT_EQ(others.report_period(), seconds(2));
+}
+
+TEST(peers, removed_entry_of_a_live_peer_is_kept)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.remove("a", start);
+    EXPECT_EQ(others.size(), 2U);
+    others.remove("a", start + seconds(5));
+    EXPECT_EQ(others.size(), 1U);
+}
+
+TEST(peers, peers_that_stay_silent_are_forgotten)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.expire(start + std::chrono::minutes(9));
+    EXPECT_EQ(others.size(), 2U);
+    others.expire(start + std::chrono::minutes(11));
+    EXPECT_EQ(others.size(), 1U);
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/test/placement-test.cpp
@@ -0,0 +1,96 @@
+#include <agatespread/placement.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+placement_candidate upstream(std::uint32_t running, std::uint32_t queued, milliseconds service,
+                             bool local = true)
+{
+    placement_candidate candidate;
+    candidate.load = {running, queued, 9, service};
+    candidate.local_domain = local;
+    candidate.distance = local ? milliseconds(1) : milliseconds(10);
+    return candidate;
+}
+
+std::optional<std::size_t> choose(const std::vector<placement_candidate>& candidates,
+                                  milliseconds time_left, std::uint64_t seed = 7)
+{
+    std::mt19937_64 engine(seed);
+    return choose_upstream(candidates, time_left, {}, [&engine] { return engine(); });
+}
+
+} // namespace
+
+TEST(placement, no_candidate_is_no_choice)
+{
+    EXPECT_FALSE(choose({}, milliseconds(300)).has_value());
+}
+
+TEST(placement, expected_time_counts_the_wait_for_a_slot)
+{
+    const placement_options options;
+    EXPECT_EQ(expected_time(upstream(8, 0, milliseconds(90)), options), milliseconds(91));
+    EXPECT_EQ(expected_time(upstream(9, 8, milliseconds(90)), options), milliseconds(181));
+    placement_candidate sent = upstream(9, 0, milliseconds(90));
+    sent.sent_since = 8;
+    EXPECT_EQ(expected_time(sent, options), milliseconds(181));
+    EXPECT_EQ(expected_time(upstream(0, 0, milliseconds(0)), options), milliseconds(101));
+}
+
+// Guards against traffic between failure domains for a small gain: the other domain is idle, and
+// the own one still answers in time.
+TEST(placement, own_domain_goes_first_while_it_answers_in_time)
+{
+    const std::vector<placement_candidate> candidates = {upstream(9, 5, milliseconds(90)),
+                                                         upstream(0, 0, milliseconds(60), false)};
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        EXPECT_EQ(choose(candidates, milliseconds(300), seed), 0U) << "seed " << seed;
+    }
+}
+
+// Guards against a domain with too few slots that keeps its callers waiting while another one
+// has room.
+TEST(placement, overloaded_domain_sends_to_others)
+{
+    const std::vector<placement_candidate> candidates = {upstream(9, 20, milliseconds(90)),
+                                                         upstream(2, 0, milliseconds(90), false)};
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        EXPECT_EQ(choose(candidates, milliseconds(300), seed), 1U) << "seed " << seed;
+    }
+}
+
+// Guards against all nodes with the same reports choosing the same upstream.
+TEST(placement, equal_upstreams_share_the_load)
+{
+    const std::vector<placement_candidate> candidates = {upstream(3, 0, milliseconds(90)),
+                                                         upstream(3, 0, milliseconds(92)),
+                                                         upstream(3, 0, milliseconds(88))};
+    std::map<std::size_t, int> counts;
+    std::mt19937_64 engine(7);
+    for (int request = 0; request < 3000; ++request) {
+        ++counts[*choose_upstream(candidates, milliseconds(300), {},
+                                  [&engine] { return engine(); })];
+    }
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        EXPECT_GT(counts[index], 3000 / 3 / 2) << index; // Half of an equal share.
+    }
+}
+
+// Guards against a slow upstream that gets as much as the others.
+TEST(placement, slow_upstream_gets_what_the_others_have_no_room_for)
+{
+    const std::vector<placement_candidate> candidates = {upstream(2, 0, milliseconds(90)),
+                                                         upstream(0, 0, milliseconds(1080))};
+    EXPECT_EQ(choose(candidates, milliseconds(300)), 0U);
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/test/platform_configuration-test.cpp
@@ -0,0 +1,129 @@
+#include "dialect.h"
+#include "time_text.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace agatespread::adapter {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* document = R"({
+"version":"0000000c",
+"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout":"3000ms","idle_timeout":"15s"},
+"listeners":[{"host":"a.example","rules":[
+ {"name":"r1","kind":"non_idempotent","target_latency":"400ms","priority":1,
+  "match":{"path_prefix":"/book/"},"action":{"service":"s1","timeout":"1.2s","max_attempts":2}},
+ {"name":"r2","kind":"download","target_latency":"300ms","priority":2,
+  "match":{"path_prefix":"/get/"},"action":{"weighted_clusters":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"timeout":"1000ms","max_attempts":3}}]}],
+"clusters":[{"name":"s1"},{"name":"s2"}]})";
+
+nlohmann::json valid()
+{
+    return nlohmann::json::parse(document);
+}
+
+bool rejects(const nlohmann::json& changed)
+{
+    return !read_configuration(changed.dump()).ok();
+}
+
+} // namespace
+
+TEST(platform_configuration, document_becomes_a_routing_table)
+{
+    const absl::StatusOr<std::shared_ptr<const routing_table>> table = read_configuration(document);
+    ASSERT_TRUE(table.ok()) << table.status();
+    EXPECT_EQ((*table)->version(), 12U);
+    EXPECT_EQ((*table)->limits().body_bytes, 1000U);
+    EXPECT_EQ((*table)->limits().idle_timeout, milliseconds(15000));
+    const std::shared_ptr<const route_rule> book = (*table)->find("a.example", "/book/1");
+    ASSERT_TRUE(book);
+    EXPECT_FALSE(book->idempotent);
+    EXPECT_EQ(book->timeout, milliseconds(1200));
+    EXPECT_EQ(book->target_latency, milliseconds(400));
+    EXPECT_EQ(book->priority, 1);
+    EXPECT_EQ(book->max_attempts, 2U);
+    const std::shared_ptr<const route_rule> get = (*table)->find("a.example", "/get/1");
+    ASSERT_TRUE(get);
+    EXPECT_TRUE(get->idempotent);
+    ASSERT_EQ(get->to.size(), 2U);
+    EXPECT_EQ(get->to[1].service, "s2");
+    EXPECT_EQ(get->to[1].weight, 10U);
+}
+
+// Guards against a version that is applied in part: one wrong rule rejects the whole document.
+TEST(platform_configuration, one_wrong_field_rejects_the_document)
+{
+    ASSERT_FALSE(rejects(valid()));
+    EXPECT_FALSE(read_configuration("").ok());
+    EXPECT_FALSE(read_configuration(std::string_view(document).substr(0, 400)).ok());
+    nlohmann::json changed = valid();
+    changed["version"] = "12x";
+    EXPECT_TRUE(rejects(changed));
+    changed = valid();
+    changed.erase("listeners");
+    EXPECT_TRUE(rejects(changed));
+    for (const char* field : {"kind", "match", "action"}) {
+        changed = valid();
+        changed["listeners"][0]["rules"][1].erase(field);
+        EXPECT_TRUE(rejects(changed)) << field;
+    }
+    for (const char* field : {"timeout", "max_attempts"}) {
+        changed = valid();
+        changed["listeners"][0]["rules"][1]["action"].erase(field);
+        EXPECT_TRUE(rejects(changed)) << field;
+    }
+    changed = valid();
+    changed["listeners"][0]["rules"][0]["action"]["service"] = "unknown";
+    EXPECT_TRUE(rejects(changed));
+    changed = valid();
+    changed["listeners"][0].erase("host");
+    EXPECT_TRUE(rejects(changed));
+    changed = valid();
+    changed["listeners"][0]["rules"][1]["match"]["path_prefix"] = "/book/";
+    EXPECT_TRUE(rejects(changed));
+    changed = valid();
+    changed["listeners"][0]["rules"][1]["action"]["weighted_clusters"][0].erase("weight");
+    EXPECT_TRUE(rejects(changed));
+}
+
+TEST(platform_configuration, times_have_a_unit)
+{
+    EXPECT_EQ(parse_time("1500ms"), milliseconds(1500));
+    EXPECT_EQ(parse_time("2.5s"), milliseconds(2500));
+    EXPECT_EQ(parse_time("0ms"), milliseconds(0));
+    for (const char* wrong : {"", "ms", "s", "5", "x5s", "5 m", "nans", "1e300s"}) {
+        EXPECT_FALSE(parse_time(wrong).has_value()) << wrong;
+    }
+}
+
+TEST(platform_configuration, headers_are_read_and_written)
+{
+    const sidecar_dialect dialect = make_dialect();
+    http_request request;
+    request.headers.add("X-Request-Id", "abc");
+    request.headers.add("X-Deadline-Ms", "2000");
+    request.headers.add("X-Caller-Service", "forged");
+    EXPECT_EQ(dialect.read_request(request).request_id, "abc");
+    EXPECT_EQ(dialect.read_request(request).time_left, milliseconds(2000));
+    dialect.write_upstream_call({milliseconds(750), "i-1", "own"}, request);
+    EXPECT_EQ(request.headers.get("X-Deadline-Ms"), "750");
+    EXPECT_EQ(request.headers.get("X-Target-Instance"), "i-1");
+    EXPECT_EQ(request.headers.get("X-Caller-Service"), "own");
+    http_response response;
+    response.status = 421;
+    EXPECT_TRUE(dialect.read_answer(response).other_instance);
+    response.status = 503;
+    response.headers.add("X-Not-Executed", "1");
+    EXPECT_TRUE(dialect.read_answer(response).not_run);
+    EXPECT_FALSE(dialect.read_answer(response).authentic);
+    response.headers.add("X-Response-Signature", "s");
+    response.headers.add("Content-Encoding", "gzip");
+    EXPECT_TRUE(dialect.read_answer(response).authentic);
+    EXPECT_TRUE(dialect.read_answer(response).encoded);
+}
+
+} // namespace agatespread::adapter
--- /dev/null
+++ b/test/platform_settings-test.cpp
@@ -0,0 +1,71 @@
+#include "settings.h"
+
+#include <gtest/gtest.h>
+
+namespace agatespread::adapter {
+
+namespace {
+
+const std::string valid = R"(node: "n-1"
+failure_domain: "cairo"
+service: "rounds"
+host_address: "10.0.0.1"
+ports: [7380,7395]
+upstream_address: "10.0.0.1:1"
+caller_address: "10.0.0.1:2"
+call_address: "10.0.0.1:3"
+ready_address: "10.0.0.1:4"
+heartbeat_address: "10.0.0.1:5"
+store_address: "10.0.0.9:1"
+bounds: ["grace=6s","retry_budget_ratio=0.25","budget_window=10s","budget_slack=56"]
+descriptors: 4100
+)";
+
+std::string error_of(const std::string& yaml)
+{
+    const absl::StatusOr<process_settings> read = parse_process_settings(yaml, "local.toml");
+    return read.ok() ? "" : std::string(read.status().message());
+}
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    std::string text = valid;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST(platform_settings, rendered_settings_are_read)
+{
+    const absl::StatusOr<process_settings> read = parse_process_settings(valid, "local.toml");
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(read->node.node, "n-1");
+    EXPECT_EQ(read->node.report_address, "10.0.0.1:7380");
+    EXPECT_EQ(read->store_address, "10.0.0.9:1");
+    EXPECT_DOUBLE_EQ(read->node.repeats.ratio, 0.25);
+    EXPECT_DOUBLE_EQ(read->node.repeats.slack, 56);
+    EXPECT_EQ(read->node.repeats.window, std::chrono::seconds(10));
+    EXPECT_LT(read->node.stop_deadline, std::chrono::seconds(6));
+    EXPECT_EQ(read->node.caller_connections, 2460U);
+}
+
+// Guards against a process that starts with half of its settings: the error names file and key.
+TEST(platform_settings, wrong_settings_name_file_and_key)
+{
+    EXPECT_EQ(error_of(replaced("node: \"n-1\"\n", "")), "local.toml: node: a text is required");
+    EXPECT_EQ(error_of(replaced("[7380,7395]", "[]")),
+              "local.toml: ports: a list of ports is required");
+    EXPECT_EQ(error_of(replaced("budget_window=10s", "budget_window=10")),
+              "local.toml: bounds.budget_window: \"10\" is not a time such as 1500ms");
+    EXPECT_EQ(error_of(replaced("budget_slack=56", "budget_slack=x")),
+              "local.toml: bounds.budget_slack: \"x\" is not a number");
+    EXPECT_EQ(error_of(replaced("4100", "10")),
+              "local.toml: descriptors: a number of at least 1000 is required");
+    EXPECT_NE(error_of("node: ["), "");
+    EXPECT_NE(error_of("text"), "");
+    EXPECT_NE(load_process_settings("/nonexistent").status().message().find("/nonexistent"),
+              absl::string_view::npos);
+}
+
+} // namespace agatespread::adapter
--- /dev/null
+++ b/test/row_watch-test.cpp
@@ -0,0 +1,116 @@
+#include <agatespread/memory_platform.h>
+#include <agatespread/row_watch.h>
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct row_watch_fixture : ::testing::Test {
+    row_watch_fixture()
+        : driver(timers), watch(driver, timers, "nodes/", {}, [this] { return engine(); })
+    {
+    }
+
+    void write(const std::string& key, std::optional<std::string> value)
+    {
+        transaction change;
+        change.writes.push_back({key, std::move(value)});
+        driver.commit(std::move(change), [](const absl::StatusOr<transaction_result>&) {});
+    }
+
+    void start()
+    {
+        watch.start([this](const row_changes& changes) { news.push_back(changes); },
+                    [this](const absl::Status& status) { health.push_back(status.ok()); });
+    }
+
+    manual_timer_service timers;
+    memory_platform driver;
+    std::mt19937_64 engine{7};
+    std::vector<row_changes> news;
+    std::vector<bool> health;
+    row_watch watch;
+};
+
+} // namespace
+
+using row_watch_test = row_watch_fixture;
+
+TEST_F(row_watch_test, begins_with_all_rows_and_goes_on_with_changes)
+{
+    write("nodes/a", "1");
+    write("other/x", "1");
+    start();
+    EXPECT_TRUE(watch.complete());
+    ASSERT_EQ(news.size(), 1U);
+    EXPECT_TRUE(news[0].complete);
+    ASSERT_EQ(news[0].rows.size(), 1U);
+    timers.advance(milliseconds(10));
+    write("nodes/b", "2");
+    ASSERT_EQ(news.size(), 2U);
+    EXPECT_FALSE(news[1].complete);
+    EXPECT_EQ(news[1].rows[0].key, "nodes/b");
+    timers.advance(milliseconds(10));
+    write("nodes/a", std::nullopt);
+    ASSERT_EQ(news.size(), 3U);
+    EXPECT_FALSE(news[2].rows[0].value.has_value());
+}
+
+// Guards against changes that are missed between two calls.
+TEST_F(row_watch_test, change_between_two_calls_is_seen)
+{
+    start();
+    write("nodes/a", "1");
+    EXPECT_EQ(news.size(), 1U);
+    timers.advance(milliseconds(5));
+    ASSERT_EQ(news.size(), 2U);
+    EXPECT_EQ(news[1].rows[0].key, "nodes/a");
+}
+
+// Guards against a watch that ends, or asks without a pause, while the platform is down.
+TEST_F(row_watch_test, outage_is_told_once_and_outlasted)
+{
+    start();
+    timers.advance(milliseconds(5));
+    platform_faults down;
+    down.down = true;
+    driver.set_faults(down);
+    timers.advance(seconds(16)); // The held call ends, the next ones fail.
+    const std::uint64_t before = driver.counts().reads;
+    timers.advance(seconds(10));
+    const std::uint64_t asked = driver.counts().reads - before;
+    EXPECT_GE(asked, 9U);
+    EXPECT_LE(asked, 21U);
+    EXPECT_EQ(health, std::vector<bool>({false}));
+    driver.set_faults({});
+    write("nodes/a", "1");
+    timers.advance(seconds(2));
+    EXPECT_EQ(health, std::vector<bool>({false, true}));
+    ASSERT_FALSE(news.empty());
+    EXPECT_EQ(news.back().rows.back().key, "nodes/a");
+}
+
+// Guards against a feed that stays behind after the platform forgot its history.
+TEST_F(row_watch_test, lost_history_is_read_again_at_once)
+{
+    write("nodes/a", "1");
+    start();
+    write("nodes/b", "2");
+    write("nodes/a", std::nullopt);
+    driver.forget_history();
+    timers.advance(milliseconds(5));
+    ASSERT_EQ(news.size(), 2U);
+    EXPECT_TRUE(news[1].complete);
+    ASSERT_EQ(news[1].rows.size(), 1U);
+    EXPECT_EQ(news[1].rows[0].key, "nodes/b");
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/test/sidecar-test.cpp
@@ -0,0 +1,472 @@
+#include "loop_thread.h"
+#include "raw_upstream.h"
+
+#include <agatespread/memory_platform.h>
+#include <agatespread/sidecar.h>
+
+#include <asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <random>
+#include <sstream>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* id_header = "Id";
+constexpr const char* signature_header = "Signature";
+
+/// Speaks a made-up platform: a configuration is "VERSION TIMEOUT_MS idempotent|once SERVICE".
+sidecar_dialect test_dialect()
+{
+    sidecar_dialect dialect;
+    dialect.configuration_prefix = "operator/";
+    dialect.configuration_key = "operator/newest";
+    dialect.read_configuration =
+        [](std::string_view text) -> absl::StatusOr<std::shared_ptr<const routing_table>> {
+        std::istringstream words{std::string(text)};
+        config_version version = 0;
+        int timeout = 0;
+        std::string kind;
+        std::string service;
+        if (!(words >> version >> timeout >> kind >> service)) {
+            return absl::InvalidArgumentError("four words are required");
+        }
+        const std::shared_ptr<routing_table> table =
+            std::make_shared<routing_table>(version, caller_limits());
+        route_rule rule;
+        rule.name = "all";
+        rule.timeout = milliseconds(timeout);
+        rule.idempotent = kind == "idempotent";
+        rule.target_latency = milliseconds(300);
+        rule.max_attempts = 2;
+        rule.to = {{service, 1}};
+        const absl::Status added = table->add("mesh.example", rule);
+        if (!added.ok()) {
+            return added;
+        }
+        return table;
+    };
+    dialect.read_request = [](const http_request& request) {
+        caller_context context;
+        context.request_id = std::string(request.headers.get(id_header));
+        context.time_left = std::chrono::seconds(5);
+        return context;
+    };
+    dialect.write_upstream_call = [](const upstream_call& call, http_request& request) {
+        request.headers.set("Instance", call.instance);
+        request.headers.set("Caller", call.caller_service);
+        request.headers.set("Left", std::to_string(call.time_left.count()));
+    };
+    dialect.read_answer = [](const http_response& response) {
+        upstream_answer answer;
+        answer.request_id = std::string(response.headers.get(id_header));
+        answer.authentic = response.headers.contains(signature_header);
+        answer.not_run = response.headers.contains("Not-Run");
+        answer.other_instance = response.status == 421;
+        return answer;
+    };
+    dialect.read_health = [](const http_response&) { return std::optional<std::string>(); };
+    return dialect;
+}
+
+http_response answered(const http_request& request, int status = 200)
+{
+    http_response response;
+    response.status = status;
+    response.headers.add(id_header, std::string(request.headers.get(id_header)));
+    response.headers.add(signature_header, "s");
+    response.body = "answer";
+    return response;
+}
+
+/// One node with an upstream, a store and the loop that they share.
+struct sidecar_fixture : ::testing::Test {
+    struct host {
+        std::unique_ptr<http_server> upstream;
+        std::unique_ptr<sidecar> node;
+        std::atomic<int> runs{0};
+        std::function<void(std::shared_ptr<http_exchange>)> serve;
+        http_request last;
+    };
+
+    void start(host& at, const std::string& name, const std::string& service,
+               const std::string& upstream_address = {})
+    {
+        at.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+            exchange->respond(answered(exchange->request()));
+        };
+        thread.call([&] {
+            at.upstream =
+                http_server::listen(thread.loop(), "127.0.0.1:0", {},
+                                    [&at](const std::shared_ptr<http_exchange>& exchange) {
+                                        if (exchange->request().target != "/health") {
+                                            ++at.runs;
+                                            at.last = exchange->request();
+                                        }
+                                        at.serve(exchange);
+                                    })
+                    .value();
+            sidecar_settings settings;
+            settings.node = name;
+            settings.failure_domain = "cairo";
+            settings.service = service;
+            settings.report_address = "127.0.0.1:" + std::to_string(free_port());
+            settings.upstream_address =
+                upstream_address.empty() ? at.upstream->address() : upstream_address;
+            settings.repeats.slack = 1000;
+            settings.log.request_lines_per_second = ::getenv("SIDECAR_LOG") != nullptr ? 100 : 0;
+            settings.log.descriptor = ::getenv("SIDECAR_LOG") != nullptr ? 1 : -1;
+            at.node = sidecar::start(thread.loop(), store, data, settings, test_dialect(), [this] {
+                          return engine();
+                      }).value();
+        });
+    }
+
+    // UDP ports cannot be asked for after the bind, so that one is found first.
+    static int free_port()
+    {
+        asio::io_context context;
+        asio::ip::udp::socket socket(context,
+                                     asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        return socket.local_endpoint().port();
+    }
+
+    void open(host& at, const std::string& instance = "i-1", bool draining = false,
+              std::uint64_t sequence = 1)
+    {
+        upstream_heartbeat heartbeat;
+        heartbeat.instance = instance;
+        heartbeat.sequence = sequence;
+        heartbeat.slots = 2;
+        heartbeat.draining = draining;
+        thread.call([&] { at.node->heartbeat(heartbeat); });
+    }
+
+    void configure(const std::string& text)
+    {
+        thread.call([&] {
+            transaction write;
+            write.writes.push_back({"operator/newest", text});
+            store.commit(std::move(write), [](const absl::StatusOr<transaction_result>&) {});
+        });
+    }
+
+    bool eventually_ready(host& at)
+    {
+        return thread.eventually([&at] { return at.node->ready(); });
+    }
+
+    http_result send(host& to, const std::string& id, const std::string& method = "GET")
+    {
+        http_call call;
+        call.url = "http://" + thread.call([&to] { return to.node->caller_address(); }) + "/x/1";
+        call.request.method = method;
+        call.request.headers.set("Host", "mesh.example");
+        call.request.headers.set(id_header, id);
+        call.timeout = std::chrono::seconds(10);
+        std::promise<http_result> promise;
+        thread.loop().post([&] {
+            client.send(std::move(call),
+                        [&promise](http_result result) { promise.set_value(std::move(result)); });
+        });
+        return promise.get_future().get();
+    }
+
+    /// Sends until the answer has a status, as reports between nodes take a moment.
+    bool eventually_answers(host& to, int status)
+    {
+        for (int attempt = 0; attempt < 2000; ++attempt) {
+            if (send(to, "probe-" + std::to_string(attempt)).response.status == status) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void TearDown() override
+    {
+        thread.call([this] {
+            for (host* const each : {&first, &second}) {
+                each->node.reset();
+                each->upstream.reset();
+            }
+        });
+    }
+
+    loop_thread thread;
+    memory_platform store{thread.loop()};
+    metrics data;
+    std::mt19937_64 engine{7};
+    http_client client{thread.loop()};
+    host first;
+    host second;
+};
+
+} // namespace
+
+using sidecar_test = sidecar_fixture;
+
+// Guards against 404 from a node that knows no configuration yet, and a refusal without a time.
+TEST_F(sidecar_test, node_without_configuration_refuses)
+{
+    start(first, "a", "rounds");
+    const http_result result = send(first, "1");
+    EXPECT_EQ(result.response.status, 503);
+    EXPECT_TRUE(result.response.headers.contains("Retry-After"));
+    EXPECT_FALSE(thread.call([this] { return first.node->ready(); }));
+}
+
+TEST_F(sidecar_test, request_reaches_the_own_upstream)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    const http_result result = send(first, "abc");
+    EXPECT_EQ(result.response.status, 200);
+    EXPECT_EQ(result.response.body, "answer");
+    EXPECT_EQ(first.last.headers.get("Instance"), "i-1");
+    EXPECT_EQ(first.last.headers.get("Caller"), "rounds");
+    EXPECT_EQ(first.last.headers.get(id_header), "abc");
+    EXPECT_EQ(first.last.target, "/x/1");
+    EXPECT_EQ(send(first, "abd").response.headers.get("X-Agatespread-Answer"), "");
+}
+
+// Guards against nodes that find each other only by an address in their settings.
+TEST_F(sidecar_test, request_reaches_the_upstream_of_another_node)
+{
+    start(first, "a", "orders");
+    start(second, "b", "rounds");
+    configure("1 1000 idempotent rounds");
+    open(second);
+    ASSERT_TRUE(eventually_ready(first));
+    ASSERT_TRUE(eventually_answers(first, 200));
+    EXPECT_EQ(first.runs, 0);
+    EXPECT_GT(second.runs, 0);
+    EXPECT_EQ(second.last.headers.get("Caller"), "orders");
+}
+
+// Guards against new work after the leave was acknowledged; the heartbeat call returns with the
+// gate closed.
+TEST_F(sidecar_test, leaving_upstream_takes_no_new_work)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    ASSERT_EQ(send(first, "1").response.status, 200);
+    open(first, "i-1", true, 2);
+    const int before = first.runs;
+    EXPECT_EQ(send(first, "2").response.status, 503);
+    EXPECT_EQ(first.runs, before);
+}
+
+// Guards against an older version that takes the place of the one in force, and against a
+// version that is rejected but changes what is served.
+TEST_F(sidecar_test, older_and_malformed_versions_change_nothing)
+{
+    start(first, "a", "rounds");
+    configure("5 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    configure("4 1000 idempotent nowhere");
+    configure("broken");
+    configure("6 1000 idempotent nowhere");
+    EXPECT_TRUE(eventually_answers(first, 503));
+    configure("7 1000 idempotent rounds");
+    EXPECT_TRUE(eventually_answers(first, 200));
+}
+
+// Guards against a request that must run once being sent again after its answer was lost, and
+// against an answer that says it has not run.
+TEST_F(sidecar_test, lost_answer_is_not_repeated_unless_idempotent)
+{
+    std::atomic<int> arrivals{0};
+    raw_upstream silent([&arrivals](asio::ip::tcp::socket& socket, int) {
+        arrivals += raw_upstream::read_request(socket) ? 1 : 0;
+    });
+    start(first, "a", "rounds", silent.address());
+    configure("1 1000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    const http_result result = send(first, "1", "POST");
+    EXPECT_EQ(result.response.status, 502);
+    EXPECT_EQ(arrivals, 1);
+}
+
+// Guards against an answer that belongs to another request, one without a signature and one that
+// says 200 with an encoded body.
+TEST_F(sidecar_test, foreign_and_unsigned_answers_are_not_delivered)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = answered(exchange->request());
+        response.headers.set(id_header, "another");
+        exchange->respond(std::move(response));
+    };
+    EXPECT_EQ(send(first, "1").response.status, 502);
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = answered(exchange->request());
+        response.headers.remove(signature_header);
+        exchange->respond(std::move(response));
+    };
+    EXPECT_EQ(send(first, "2").response.status, 502);
+}
+
+// Guards against a request that fails because the one upstream that it was sent to refused it.
+TEST_F(sidecar_test, refusal_of_the_upstream_is_tried_elsewhere)
+{
+    start(first, "a", "rounds");
+    start(second, "b", "rounds");
+    configure("1 1000 once rounds");
+    open(first);
+    open(second, "i-2");
+    ASSERT_TRUE(eventually_ready(first));
+    ASSERT_TRUE(thread.eventually([this] { return second.node->ready(); }));
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response;
+        response.status = 503;
+        response.headers.add("Not-Run", "1");
+        exchange->respond(std::move(response));
+    };
+    int served = 0;
+    for (int request = 0; request < 40 && second.runs < 5; ++request) {
+        served += send(first, "r" + std::to_string(request)).response.status == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(second.runs, served);
+    EXPECT_GT(served, 0);
+}
+
+// Guards against a caller that waits beyond the operator's timeout.
+TEST_F(sidecar_test, timeout_of_the_rule_ends_a_request)
+{
+    std::vector<std::shared_ptr<http_exchange>> held;
+    start(first, "a", "rounds");
+    configure("1 50 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    first.serve = [&held](const std::shared_ptr<http_exchange>& exchange) {
+        held.push_back(exchange);
+    };
+    EXPECT_EQ(send(first, "1").response.status, 504);
+    thread.call([&held] { held.clear(); });
+}
+
+// Guards against more requests at an upstream than it has slots.
+TEST_F(sidecar_test, gate_holds_requests_to_the_slots)
+{
+    std::vector<std::shared_ptr<http_exchange>> held;
+    start(first, "a", "rounds");
+    configure("1 2000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first); // Two slots.
+    first.serve = [&held](const std::shared_ptr<http_exchange>& exchange) {
+        held.push_back(exchange);
+    };
+    std::vector<std::future<http_result>> results;
+    results.reserve(4);
+    for (int request = 0; request < 4; ++request) {
+        results.push_back(std::async(std::launch::async, [this, request] {
+            return send(first, "r" + std::to_string(request));
+        }));
+    }
+    ASSERT_TRUE(thread.eventually([&held] { return held.size() == 2; }));
+    int ended = 0;
+    while (ended < 4) {
+        ASSERT_TRUE(thread.eventually([&held] { return !held.empty(); }));
+        thread.call([&] {
+            EXPECT_LE(held.size(), 2U);
+            held.front()->respond(answered(held.front()->request()));
+            held.erase(held.begin());
+            ++ended;
+        });
+    }
+    for (std::future<http_result>& result : results) {
+        EXPECT_EQ(result.get().response.status, 200);
+    }
+}
+
+// Guards against work for callers that left: the upstream sees its connection close.
+TEST_F(sidecar_test, caller_that_leaves_ends_the_work)
+{
+    std::atomic<bool> cancelled{false};
+    std::shared_ptr<http_exchange> held;
+    start(first, "a", "rounds");
+    configure("1 5000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    first.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+        held = exchange;
+        exchange->on_cancel([&cancelled] { cancelled = true; });
+    };
+    const std::string address = thread.call([this] { return first.node->caller_address(); });
+    raw_connection caller(address);
+    caller.send("GET /x/1 HTTP/1.1\r\nHost: mesh.example\r\nId: 1\r\n\r\n");
+    ASSERT_TRUE(thread.eventually([&held] { return held != nullptr; }));
+    caller.close();
+    EXPECT_TRUE(thread.eventually([&cancelled] { return cancelled.load(); }));
+    thread.call([&held] { held.reset(); });
+}
+
+// Guards against a shutdown that cuts a request off, and one that never ends.
+TEST_F(sidecar_test, shutdown_answers_what_is_in_flight)
+{
+    std::shared_ptr<http_exchange> held;
+    std::atomic<bool> ended{false};
+    start(first, "a", "rounds");
+    configure("1 5000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    first.serve = [&held](const std::shared_ptr<http_exchange>& exchange) { held = exchange; };
+    std::future<http_result> result =
+        std::async(std::launch::async, [this] { return send(first, "1"); });
+    ASSERT_TRUE(thread.eventually([&held] { return held != nullptr; }));
+    thread.call([&] { first.node->shut_down([&ended] { ended = true; }); });
+    EXPECT_FALSE(thread.call([this] { return first.node->ready(); }));
+    thread.call([&held] {
+        held->respond(answered(held->request()));
+        held.reset();
+    });
+    EXPECT_EQ(result.get().response.status, 200);
+    EXPECT_TRUE(thread.eventually([&ended] { return ended.load(); }));
+}
+
+// Guards against a node that starts while the platform is down and serves nothing, though its
+// peers know the configuration.
+TEST_F(sidecar_test, configuration_comes_from_a_peer_while_the_platform_is_down)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    // The second node can publish its entry and read the others', but has no configuration.
+    start(second, "b", "rounds");
+    ASSERT_TRUE(eventually_ready(second));
+    thread.call([this] {
+        platform_faults down;
+        down.down = true;
+        store.set_faults(down);
+        second.node.reset();
+        second.upstream.reset();
+    });
+    host third;
+    start(third, "b", "rounds");
+    // The first node still knows the address of the entry; the new process has another port, so
+    // that only a report of its own could tell. It asks nobody until it hears a report.
+    EXPECT_FALSE(thread.call([&third] { return third.node->ready(); }));
+    thread.call([this] { store.set_faults({}); });
+    EXPECT_TRUE(eventually_ready(third));
+    thread.call([&third] {
+        third.node.reset();
+        third.upstream.reset();
+    });
+}
+
+} // namespace agatespread
