sidecar: two readers for each failure domain, compressed configuration from peers, link backlog

Every host read 400 kB for each version over 10.5 Mbit/s, and all that lagged fetched from the one peer with the lowest id, whose link was full. Photos filled the links of hosts whose slots were free. Change: the first two hosts of a domain that can read the platform follow it, the others fetch the compressed document from a random peer that has it; the expected time counts how long an answer waits for the link, from the bytes sent.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -40,6 +40,7 @@
     upstream_state state = upstream_state::gone;
     reported_load load;
     config_version in_force = 0;
+    bool reads_platform = true;        ///< Its calls to the platform succeed, or it makes none.
     std::vector<crash_report> crashes; ///< Of the last seconds.
 };
 
@@ -126,8 +127,13 @@
     /// Returns the period of reports to the peers of the own failure domain, or to all others.
     std::chrono::milliseconds report_period(bool own_domain) const;
 
-    /// Returns the peer that reported the highest version above `version`, or nothing.
-    const peer_entry* ahead_of(config_version version, time_point now) const;
+    /// Returns the peers, of the own failure domain or of all others, that reported the highest
+    /// version above `version`.
+    std::vector<peer_entry> ahead_of(config_version version, bool own_domain, time_point now) const;
+
+    /// Returns whether the own node is one of the first `readers` nodes of its failure domain, in
+    /// the order of their ids, among those that can read the platform.
+    bool is_reader(std::size_t readers, time_point now) const;
 
     /// Forgets peers that were silent for long.
     void expire(time_point now);
@@ -140,6 +146,7 @@
         upstream_state state = upstream_state::gone;
         reported_load load;
         config_version in_force = 0;
+        bool reads_platform = true;
         std::uint32_t sent_since = 0;
         std::chrono::nanoseconds transit{0};
         time_point transit_at;
--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -15,6 +15,7 @@
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
     std::chrono::nanoseconds service_time{0}; ///< Mean time of a call on a slot.
+    std::chrono::nanoseconds link_delay{0};   ///< How long an answer waits for the host's link.
 };
 
 /// An upstream that a request may go to.
--- a/include/agatespread/row_watch.h
+++ b/include/agatespread/row_watch.h
@@ -43,9 +43,16 @@
     /// Begins with a copy of all rows.
     void start(news_hook news, health_hook health);
 
+    /// Ends or resumes the watch; it resumes with a copy of all rows, and a call that is held by
+    /// the platform still ends with its changes.
+    void set_active(bool active);
+
     /// Returns whether a copy of all rows has arrived.
     bool complete() const { return complete_; }
 
+    /// Returns whether the last call failed.
+    bool failing() const { return failing_; }
+
 private:
     void call();
     void ended(absl::StatusOr<row_changes> result);
@@ -59,6 +66,8 @@
     news_hook news_;
     health_hook health_;
     std::uint64_t revision_ = 0;
+    bool active_ = true;
+    bool idle_ = false; ///< No call and no timer is pending.
     bool complete_ = false;
     bool failing_ = false;
     std::chrono::milliseconds delay_{0};
--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -76,7 +76,8 @@
     std::string entries_prefix = "nodes/"; ///< Of the rows in which nodes publish themselves.
     std::size_t caller_connections = 2500; ///< Callers keep connections open between requests.
     std::size_t peer_connections = 1000;
-    std::uint32_t default_slots = 8; ///< Until the first heartbeat of the upstream.
+    double link_bytes_per_second = 0; ///< Of the host; 0 for a link that never fills.
+    std::uint32_t default_slots = 8;  ///< Until the first heartbeat of the upstream.
     std::chrono::milliseconds stop_deadline = std::chrono::milliseconds(5500);
     repeat_budget_options repeats;
     peer_options peers;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -168,7 +168,7 @@
         const admission_load load = owner_->gate.load(now);
         destination here;
         here.node = owner_->settings.node;
-        here.load.load = {load.running, load.queued, load.slots, load.service_time};
+        here.load.load = {load.running, load.queued, load.slots, load.service_time, {}};
         result.push_back(std::move(here));
     }
     for (const eligible_peer& peer : owner_->others.eligible(service_, now)) {
@@ -471,6 +471,7 @@
         }
     }
     strip_headers(response.headers);
+    owner_->link.add(response.body.size(), owner_->loop.now());
     finish();
     exchange_->respond(std::move(response));
 }
--- /dev/null
+++ b/src/deflate.cpp
@@ -0,0 +1,46 @@
+#include "deflate.h"
+
+#include <agatespread/base.h>
+
+#include <zlib.h>
+
+#include <algorithm>
+
+namespace agatespread::detail {
+
+std::string deflate_bytes(std::string_view bytes)
+{
+    uLongf size = compressBound(static_cast<uLong>(bytes.size()));
+    std::string result(size, '\0');
+    // The bound makes room for any input, so that this cannot fail.
+    compress2(reinterpret_cast<Bytef*>(&result[0]), &size,
+              reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uLong>(bytes.size()),
+              Z_BEST_SPEED);
+    result.resize(size);
+    return result;
+}
+
+absl::StatusOr<std::string> inflate_bytes(std::string_view compressed, std::size_t limit)
+{
+    // Grows with the result, so that a short message cannot claim much memory.
+    std::string result;
+    std::size_t room = std::min<std::size_t>(limit, 16 * compressed.size() + 1024);
+    while (true) {
+        result.resize(room);
+        uLongf size = room;
+        const int code = uncompress(reinterpret_cast<Bytef*>(&result[0]), &size,
+                                    reinterpret_cast<const Bytef*>(compressed.data()),
+                                    static_cast<uLong>(compressed.size()));
+        if (code == Z_OK) {
+            result.resize(size);
+            return result;
+        }
+        if (code != Z_BUF_ERROR || room >= limit) {
+            return layer_error(absl::StatusCode::kInvalidArgument, "deflate", "malformed",
+                               "compressed bytes are damaged or too long");
+        }
+        room = std::min(limit, room * 4);
+    }
+}
+
+} // namespace agatespread::detail
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -264,7 +264,8 @@
     }
     forwarded_answer facts;
     facts.outcome = outcome;
-    facts.load = {load.running, load.queued, load.slots, load.service_time};
+    facts.load = {load.running, load.queued, load.slots, load.service_time,
+                  owner_->link.delay(now)};
     facts.retry_after = retry_after;
     facts.held = duration_cast<milliseconds>(now - arrived_);
     facts.reason = std::move(reason);
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -150,7 +150,9 @@
     value["w"] = report.load.queued;
     value["l"] = report.load.slots;
     value["m"] = static_cast<std::uint64_t>(report.load.service_time.count());
+    value["k"] = static_cast<std::uint64_t>(report.load.link_delay.count());
     value["v"] = report.in_force;
+    value["f"] = report.reads_platform ? 1U : 0U;
     value["x"] = std::move(crashes);
     return to_bytes(value);
 }
@@ -162,6 +164,8 @@
     read_entry(from, report.entry);
     std::uint64_t state = 0;
     std::uint64_t service_time = 0;
+    std::uint64_t link_delay = 0;
+    std::uint64_t reads = 0;
     from.read("p", report.process);
     from.read("q", report.sequence);
     from.read("t", state);
@@ -169,7 +173,9 @@
     from.read("w", report.load.queued);
     from.read("l", report.load.slots);
     from.read("m", service_time);
+    from.read("k", link_delay);
     from.read("v", report.in_force);
+    from.read("f", reads);
     for (const json& entry : from.list("x")) {
         fields crash(entry);
         crash_report next;
@@ -200,6 +206,8 @@
     }
     report.state = static_cast<upstream_state>(state);
     report.load.service_time = std::chrono::nanoseconds(service_time);
+    report.load.link_delay = std::chrono::nanoseconds(link_delay);
+    report.reads_platform = reads != 0;
     return report;
 }
 
@@ -247,6 +255,7 @@
     known.state = report.state;
     known.load = report.load;
     known.in_force = report.in_force;
+    known.reads_platform = report.reads_platform;
     known.sent_since = 0;
     known.heard = now;
     known.last_known = now;
@@ -352,17 +361,37 @@
     }
 }
 
-const peer_entry* peers::ahead_of(config_version version, time_point now) const
+std::vector<peer_entry> peers::ahead_of(config_version version, bool own_domain,
+                                        time_point now) const
 {
-    const peer* best = nullptr;
+    std::vector<peer_entry> result;
+    config_version highest = version;
     for (const std::pair<const node_id, peer>& each : peers_) {
         const peer& subject = each.second;
-        if (is_heard(subject, now) && subject.in_force > version &&
-            (best == nullptr || subject.in_force > best->in_force)) {
-            best = &subject;
+        if (is_near(subject) != own_domain || !is_heard(subject, now) ||
+            subject.in_force <= version || subject.in_force < highest) {
+            continue;
+        }
+        if (subject.in_force > highest) {
+            highest = subject.in_force;
+            result.clear();
         }
+        result.push_back(subject.entry);
+    }
+    return result;
+}
+
+bool peers::is_reader(std::size_t readers, time_point now) const
+{
+    std::size_t before = 0;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        const peer& subject = each.second;
+        before += each.first < own_ && is_near(subject) && is_heard(subject, now) &&
+                          subject.reads_platform
+                      ? 1
+                      : 0;
     }
-    return best == nullptr ? nullptr : &best->entry;
+    return before < readers;
 }
 
 void peers::expire(time_point now)
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -24,7 +24,7 @@
     const std::int64_t ahead =
         static_cast<std::int64_t>(load.running) + load.queued + candidate.sent_since;
     const std::int64_t waiting = std::max<std::int64_t>(ahead - slots + 1, 0);
-    return candidate.distance + service + service * waiting / slots;
+    return candidate.distance + load.link_delay + service + service * waiting / slots;
 }
 
 namespace {
--- a/src/row_watch.cpp
+++ b/src/row_watch.cpp
@@ -26,8 +26,21 @@
     call();
 }
 
+void row_watch::set_active(bool active)
+{
+    active_ = active;
+    if (active_ && idle_) {
+        revision_ = 0;
+        call();
+    }
+}
+
 void row_watch::call()
 {
+    idle_ = !active_;
+    if (idle_) {
+        return;
+    }
     driver_.follow(prefix_, revision_, options_.wait,
                    [this, alive = alive_](absl::StatusOr<row_changes> result) {
                        if (*alive) {
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -1,4 +1,5 @@
 #include "caller_request.h"
+#include "deflate.h"
 #include "gate_request.h"
 #include "sidecar_impl.h"
 #include "state_names.h"
@@ -28,8 +29,15 @@
 // How often queued requests are looked at for their deadlines.
 constexpr milliseconds gate_check_period{20};
 
-// A peer that reports a higher version gets this long to be caught up with by the own feed.
-constexpr milliseconds fetch_delay{150};
+// Nodes of each failure domain that read the configuration from the platform; the others take it
+// from them. Two, so that the loss of one is not noticed.
+constexpr std::size_t readers_of_a_domain = 2;
+
+// A reader is told by its own feed first. The other nodes of a domain ask at spread times, and ask
+// another domain only when nobody in the own one has the version.
+constexpr milliseconds reader_fetch_delay{400};
+constexpr milliseconds near_fetch_spread{150};
+constexpr milliseconds far_fetch_delay{300};
 constexpr milliseconds fetch_timeout{1000};
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
 
@@ -38,9 +46,13 @@
 // Changes that follow each other within this time come in one call. A version is in force well
 // within the platform's bound of 2 s. New nodes introduce themselves by their reports; the feed
 // of entries is for those whose reports are lost.
-constexpr milliseconds configuration_pause{500};
+constexpr milliseconds configuration_pause{200};
 constexpr milliseconds entries_pause = std::chrono::seconds(30);
 
+// A feed that has gone silent is noticed after this time, and the next node of the failure domain
+// reads instead.
+constexpr milliseconds configuration_wait = std::chrono::seconds(5);
+
 // Crash reports are repeated in all reports of this time, as a datagram may be lost.
 constexpr milliseconds crash_repeat = std::chrono::seconds(3);
 
@@ -111,7 +123,8 @@
       log(settings.node, settings.log, [] { return std::chrono::system_clock::now(); }),
       counters(data), shares(random), repeats(settings.repeats),
       others(settings.node, settings.failure_domain, settings.peers), guard({}),
-      gate(settings.admission), client(loop, client_connections_per_host), process(random())
+      gate(settings.admission), link(settings.link_bytes_per_second),
+      client(loop, client_connections_per_host), process(random())
 {
 }
 
@@ -171,6 +184,7 @@
 {
     row_watch_options configuration_times;
     configuration_times.pause = configuration_pause;
+    configuration_times.wait = configuration_wait;
     configuration_watch = std::make_unique<row_watch>(driver, loop, dialect.configuration_prefix,
                                                       configuration_times, random);
     configuration_watch->start([this](const row_changes& news) { take_configuration_rows(news); },
@@ -228,7 +242,7 @@
         return false;
     }
     table = *std::move(read);
-    document = next;
+    document = detail::deflate_bytes(next);
     counters.version.set(static_cast<std::int64_t>(table->version()));
     caller_listener->set_limits(limits_of(table->limits(), settings.caller_connections));
     log.change("configuration_in_force", {{"version", table->version()},
@@ -316,7 +330,9 @@
     report.process = process;
     report.sequence = report_sequence;
     report.state = stopping ? upstream_state::draining : gate_state();
-    report.load = {load.running, load.queued, load.slots, load.service_time};
+    report.load = {load.running, load.queued, load.slots, load.service_time,
+                   link.delay(loop.now())};
+    report.reads_platform = !reading_configuration || !configuration_watch->failing();
     report.in_force = table ? table->version() : 0;
     for (const std::pair<time_point, crash_report>& crash : crashes) {
         report.crashes.push_back(crash.second);
@@ -338,6 +354,7 @@
         }
         if (own_domain) {
             relieve_connections();
+            choose_reader(now);
         }
         send_report(own_domain);
         schedule_report(own_domain);
@@ -399,9 +416,22 @@
     }
     if (report->in_force > (table ? table->version() : 0) && !fetching) {
         fetching = true;
-        fetch_timer = loop.after(table ? fetch_delay : milliseconds(1),
-                                 [this](time_point) { fetch_from_peer(); });
+        fetch_timer =
+            loop.after(fetch_delay(report->entry), [this](time_point) { fetch_from_peer(); });
+    }
+}
+
+milliseconds sidecar::impl::fetch_delay(const peer_entry& ahead) const
+{
+    if (!table) {
+        return milliseconds(1);
+    }
+    if (reading_configuration && !configuration_watch->failing()) {
+        return reader_fetch_delay;
     }
+    const bool near = ahead.failure_domain == settings.failure_domain;
+    return uniform_between(random, near ? milliseconds(1) : far_fetch_delay,
+                           near ? near_fetch_spread : far_fetch_delay + near_fetch_spread);
 }
 
 void sidecar::impl::share_crashes(const std::vector<crash_report>& news)
@@ -417,30 +447,57 @@
 void sidecar::impl::fetch_from_peer()
 {
     const config_version before = table ? table->version() : 0;
-    const peer_entry* const peer = others.ahead_of(before, loop.now());
-    if (peer == nullptr) {
+    std::vector<peer_entry> ahead = others.ahead_of(before, true, loop.now());
+    if (ahead.empty()) {
+        ahead = others.ahead_of(before, false, loop.now());
+    }
+    if (ahead.empty()) {
         fetching = false;
         return;
     }
+    // A random one, so that no link carries the document to all nodes.
+    const peer_entry& peer = ahead[uniform_below(random, ahead.size())];
     http_call call;
-    call.url = "http://" + peer->call_address + std::string(configuration_path);
+    call.url = "http://" + peer.call_address + std::string(configuration_path);
     call.timeout = fetch_timeout;
     call.max_response_bytes = max_configuration_bytes;
-    client.send(std::move(call), [weak = weak_from_this(), node = peer->node](http_result result) {
+    client.send(std::move(call), [weak = weak_from_this(), node = peer.node](http_result result) {
         const std::shared_ptr<impl> self = weak.lock();
-        if (!self) {
-            return;
+        if (self) {
+            self->fetching = false;
+            self->take_fetched(result, node);
         }
-        self->fetching = false;
-        if (result.outcome != http_outcome::answered || result.response.status != 200) {
-            self->log.change("configuration_fetch_failed",
-                             {{"peer", node}, {"error", result.error}});
-            return;
-        }
-        self->take_configuration(result.response.body, node);
     });
 }
 
+void sidecar::impl::take_fetched(const http_result& result, const node_id& node)
+{
+    if (result.outcome != http_outcome::answered || result.response.status != 200) {
+        log.change("configuration_fetch_failed", {{"peer", node}, {"error", result.error}});
+        return;
+    }
+    const absl::StatusOr<std::string> fetched =
+        detail::inflate_bytes(result.response.body, max_configuration_bytes);
+    if (!fetched.ok()) {
+        log.change("configuration_fetch_failed",
+                   {{"peer", node}, {"error", std::string(fetched.status().message())}});
+        return;
+    }
+    take_configuration(*fetched, node);
+}
+
+void sidecar::impl::choose_reader(time_point now)
+{
+    // Without a version in force each node reads for itself, as nobody may know one.
+    const bool reads = !table || others.is_reader(readers_of_a_domain, now);
+    if (reads != reading_configuration) {
+        reading_configuration = reads;
+        log.change(reads ? "reader_started" : "reader_stopped",
+                   {{"version", table ? table->version() : 0}});
+    }
+    configuration_watch->set_active(reads);
+}
+
 void sidecar::impl::probe_upstream()
 {
     if (upstream.heard() || upstream.state() == upstream_state::ready) {
@@ -579,12 +636,16 @@
     const std::uint64_t id = ++last_gate_id;
     const std::shared_ptr<detail::gate_request> arrived = std::make_shared<detail::gate_request>(
         shared_from_this(), id, std::move(*call), std::move(request),
-        [exchange](const detail::forwarded_answer& answer, http_response response) {
+        [exchange, weak = weak_from_this()](const detail::forwarded_answer& answer,
+                                            http_response response) {
             strip_headers(response.headers);
             if (answer.outcome != answer_outcome::answered) {
                 response.status = 503;
             }
             detail::write_answer(answer, response.headers);
+            if (const std::shared_ptr<impl> live = weak.lock()) {
+                live->link.add(response.body.size(), live->loop.now());
+            }
             exchange->respond(std::move(response));
         });
     gate_requests.emplace(id, arrived);
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -3,6 +3,7 @@
 #include "datagram_socket.h"
 #include "sidecar_call.h"
 
+#include <agatespread/link_backlog.h>
 #include <agatespread/sidecar.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -77,7 +78,10 @@
     peer_report make_report() const;
     void take_report(std::string_view bytes);
     void share_crashes(const std::vector<crash_report>& reports);
+    std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
     void fetch_from_peer();
+    void take_fetched(const http_result& result, const node_id& node);
+    void choose_reader(time_point now);
 
     void probe_upstream();
     void apply(lifecycle_change change, std::string_view cause);
@@ -109,12 +113,13 @@
     std::map<std::string, std::chrono::milliseconds> full_waits;
 
     std::shared_ptr<const routing_table> table;
-    std::string document; ///< The configuration in force, as written by the operator.
+    std::string document; ///< The configuration in force as the operator wrote it, compressed.
     share_picker shares;
     repeat_budget repeats;
     peers others;
     crash_guard guard;
     admission gate;
+    link_backlog link;
     upstream_lifecycle upstream;
 
     http_client client; ///< To other nodes and to the upstream.
@@ -127,6 +132,7 @@
     bool entry_written = false;
     bool entry_in_flight = false;
     bool reading_entries = false;
+    bool reading_configuration = true; ///< This node reads for its failure domain.
     bool fetching = false;
     subscription fetch_timer;
     subscription entry_timer;
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -96,6 +96,14 @@
     }
 }
 
+// Guards against requests for a host whose slots are free while its link is full.
+TEST(placement, full_link_counts_as_a_wait)
+{
+    placement_candidate busy = upstream(0, 0, milliseconds(90));
+    busy.load.link_delay = milliseconds(150);
+    EXPECT_EQ(choose({busy, upstream(8, 0, milliseconds(90))}, milliseconds(300)), 1U);
+}
+
 // Guards against a slow upstream that gets as much as the others.
 TEST(placement, slow_upstream_gets_what_the_others_have_no_room_for)
 {
--- a/test/platform_settings-test.cpp
+++ b/test/platform_settings-test.cpp
@@ -19,6 +19,7 @@
 store_address: "10.0.0.9:1"
 bounds: ["grace=6s","retry_budget_ratio=0.25","budget_window=10s","budget_slack=56"]
 descriptors: 4100
+link_mbps: 10.5
 )";
 
 std::string error_of(const std::string& yaml)
@@ -48,6 +49,7 @@
     EXPECT_EQ(read->node.repeats.window, std::chrono::seconds(10));
     EXPECT_LT(read->node.stop_deadline, std::chrono::seconds(6));
     EXPECT_EQ(read->node.caller_connections, 2460U);
+    EXPECT_DOUBLE_EQ(read->node.link_bytes_per_second, 1312500);
 }
 
 // Guards against a process that starts with half of its settings: the error names file and key.
@@ -62,6 +64,8 @@
               "local.toml: bounds.budget_slack: \"x\" is not a number");
     EXPECT_EQ(error_of(replaced("4100", "10")),
               "local.toml: descriptors: a number of at least 1000 is required");
+    EXPECT_EQ(error_of(replaced("10.5", "fast")),
+              "local.toml: link_mbps: a number of at least 0 is required");
     EXPECT_NE(error_of("node: ["), "");
     EXPECT_NE(error_of("text"), "");
     EXPECT_NE(load_process_settings("/nonexistent").status().message().find("/nonexistent"),
--- a/test/row_watch-test.cpp
+++ b/test/row_watch-test.cpp
@@ -98,6 +98,24 @@
     EXPECT_EQ(news.back().rows.back().key, "nodes/a");
 }
 
+// Guards against a node that goes on reading though others do it for its failure domain, and
+// against one that resumes with a stale copy.
+TEST_F(row_watch_test, inactive_watch_asks_nothing_and_resumes_with_a_copy)
+{
+    start();
+    timers.advance(milliseconds(5));
+    watch.set_active(false);
+    timers.advance(seconds(16)); // The held call ends.
+    const std::uint64_t before = driver.counts().reads;
+    write("nodes/a", "1");
+    timers.advance(seconds(60));
+    EXPECT_EQ(driver.counts().reads, before);
+    watch.set_active(true);
+    ASSERT_FALSE(news.empty());
+    EXPECT_TRUE(news.back().complete);
+    EXPECT_EQ(news.back().rows.size(), 1U);
+}
+
 // Guards against a feed that stays behind after the platform forgot its history.
 TEST_F(row_watch_test, lost_history_is_read_again_at_once)
 {
