--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -63,8 +63,8 @@
     int missed_reports = 3;
     /// Reports that a node sends in a second to the peers of its own failure domain, which get
     /// most of its requests, and to those of all others.
-    double near_reports_per_second = 120;
-    double far_reports_per_second = 60;
+    double near_reports_per_second = 60;
+    double far_reports_per_second = 30;
     std::chrono::milliseconds shortest_period = std::chrono::milliseconds(100);
     /// A measured transit time holds for so long; an avoided peer is tried again after it.
     std::chrono::milliseconds transit_memory = std::chrono::milliseconds(500);
--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -39,7 +39,7 @@
     double far_gain = 0.7;
     /// Upstreams that one choice looks at. All nodes hold the same reports, which are up to a
     /// period old: with more, they would all choose the same few upstreams until the next one.
-    std::size_t sample = 3;
+    std::size_t sample = 2;
     /// Assumed before an upstream has answered anything.
     std::chrono::nanoseconds unknown_service_time = std::chrono::milliseconds(100);
 };
@@ -54,7 +54,7 @@
 /// domain whose callers need more slots than it has. Requests stay in their failure domain, as
 /// links between domains are slow and expensive, until its upstreams are expected to answer
 /// later than the local share of `time_left`, and another domain clearly sooner. Among many
-/// upstreams, the best of a few is taken that are drawn in proportion to their speed.
+/// upstreams, the better of two is taken that are drawn in proportion to their speed.
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
                                            std::chrono::nanoseconds time_left,
                                            const placement_options& options,
--- a/include/agatespread/routing.h
+++ b/include/agatespread/routing.h
@@ -27,7 +27,7 @@
     std::string prefix = "/";  ///< Begins and ends with a slash.
     bool idempotent = false;   ///< May run more than once.
     std::uint8_t priority = 5; ///< 0 is the most urgent.
-    std::chrono::milliseconds target_latency{0};
+    std::chrono::milliseconds latency_objective{0};
     std::chrono::milliseconds timeout{0};
     std::uint32_t max_attempts = 1; ///< Upstreams that one request may be sent to.
     std::vector<service_share> to;
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -16,7 +16,7 @@
     std::uint64_t sequence = 0;        ///< Grows with each heartbeat of one life.
     bool draining = false;
     std::uint32_t slots = 0;
-    std::chrono::milliseconds warmup_left{0};
+    std::chrono::milliseconds cold_for{0}; ///< How much longer it is slow after its start.
 };
 
 /// What a message of the upstream changed.
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -74,7 +74,7 @@
 milliseconds caller_request::time_to_target() const
 {
     const time_point now = owner_->loop.now();
-    const bool on_time = rule_->target_latency.count() > 0 && target_ > now;
+    const bool on_time = rule_->latency_objective.count() > 0 && target_ > now;
     return duration_cast<milliseconds>((on_time ? target_ : deadline_) - now);
 }
 
@@ -133,7 +133,7 @@
     deadline_ = started_ + std::min(waits, rule_->timeout);
     // A caller that comes back waits for less than at first: the difference has passed already.
     const milliseconds passed = owner_->full_wait(rule_->name, waits) - waits;
-    target_ = started_ + rule_->target_latency - passed;
+    target_ = started_ + rule_->latency_objective - passed;
     if (waits.count() <= 0) {
         refuse("deadline_passed", milliseconds(0));
         return false;
@@ -222,7 +222,7 @@
     call.priority = rule_->priority;
     call.suspect = suspect_;
     call.left = left();
-    if (rule_->target_latency.count() > 0) {
+    if (rule_->latency_objective.count() > 0) {
         call.target = duration_cast<milliseconds>(target_ - owner_->loop.now());
     }
     if (to.address.empty()) {
@@ -442,7 +442,7 @@
                          {"rule", rule_->name},
                          {"service", service_},
                          {"version", version_},
-                         {"node", tried_.empty() ? std::string("-") : tried_.back()},
+                         {"sent_to", tried_.empty() ? std::string("-") : tried_.back()},
                          {"arrivals", arrivals_},
                          {"held", duration_cast<milliseconds>(owner_->loop.now() - started_)}},
                         owner_->loop.now());
@@ -464,7 +464,7 @@
                                 {{"status", response.status},
                                  {"rule", rule_->name},
                                  {"version", version_},
-                                 {"node", tried_.empty() ? std::string("-") : tried_.back()},
+                                 {"sent_to", tried_.empty() ? std::string("-") : tried_.back()},
                                  {"tried", static_cast<std::uint64_t>(tried_.size())},
                                  {"took", duration_cast<milliseconds>(taken)}},
                                 owner_->loop.now());
@@ -501,7 +501,7 @@
         series_->cancelled.add();
     }
     owner_->log.request("request_cancelled", context_.request_id,
-                        {{"node", tried_.empty() ? std::string("-") : tried_.back()},
+                        {{"sent_to", tried_.empty() ? std::string("-") : tried_.back()},
                          {"held", duration_cast<milliseconds>(owner_->loop.now() - started_)}},
                         owner_->loop.now());
     if (cancel_attempt_) {
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -461,13 +461,14 @@
     call.url = "http://" + peer.call_address + std::string(configuration_path);
     call.timeout = fetch_timeout;
     call.max_response_bytes = max_configuration_bytes;
-    client.send(std::move(call), [weak = weak_from_this(), node = peer.node](http_result result) {
-        const std::shared_ptr<impl> self = weak.lock();
-        if (self) {
-            self->fetching = false;
-            self->take_fetched(result, node);
-        }
-    });
+    client.send(std::move(call),
+                [weak = weak_from_this(), node = peer.node](const http_result& result) {
+                    const std::shared_ptr<impl> self = weak.lock();
+                    if (self) {
+                        self->fetching = false;
+                        self->take_fetched(result, node);
+                    }
+                });
 }
 
 void sidecar::impl::take_fetched(const http_result& result, const node_id& node)
