sidecar: answer what still waits at the stop deadline

Change: at the deadline the gate refuses its queue and every caller gets a final answer: 503 with Retry-After where the request has not run, 504 where it may have. The process exits when these have left, after 300 ms at most. The linger before the stop is a setting. Test: sidecar_test.shutdown_ends_what_still_waits_at_the_deadline (before: no answer at all; with the callers ended first: a queued request took the slot of an ended one and ran).

--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -79,6 +79,9 @@
     double link_bytes_per_second = 0; ///< Of the host; 0 for a link that never fills.
     std::uint32_t default_slots = 8;  ///< Until the first heartbeat of the upstream.
     std::chrono::milliseconds stop_deadline = std::chrono::milliseconds(5500);
+    /// Time for which a stopping node still takes requests: the platform takes a host out of use
+    /// after two failed readiness checks, one each second.
+    std::chrono::milliseconds stop_linger = std::chrono::milliseconds(2300);
     repeat_budget_options repeats;
     peer_options peers;
     placement_options placement;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -20,6 +20,9 @@
 // heartbeat period of 1.5 s.
 constexpr milliseconds unavailable_retry_after{500};
 
+// A caller that comes back at once reaches another host.
+constexpr milliseconds stopping_retry_after{100};
+
 // Gates that may refuse a request before it is refused to the caller: a further one costs a
 // round trip, and reports are fresh enough that the first choices have the most room.
 constexpr std::uint32_t max_refusals = 2;
@@ -58,12 +61,12 @@
                                std::shared_ptr<http_exchange> exchange)
     : owner_(std::move(owner)), exchange_(std::move(exchange)), started_(owner_->loop.now())
 {
-    ++owner_->in_flight;
+    owner_->caller_requests.insert(this);
 }
 
 caller_request::~caller_request()
 {
-    --owner_->in_flight;
+    owner_->caller_requests.erase(this);
 }
 
 milliseconds caller_request::left() const
@@ -190,6 +193,10 @@
 
 void caller_request::attempt()
 {
+    if (owner_->ended_all) {
+        stop();
+        return;
+    }
     const std::vector<destination> possible = destinations();
     std::vector<placement_candidate> loads;
     loads.reserve(possible.size());
@@ -477,6 +484,16 @@
 }
 
 void caller_request::out_of_time()
+{
+    give_up("out_of_time", milliseconds(0));
+}
+
+void caller_request::stop()
+{
+    give_up("stopping", stopping_retry_after);
+}
+
+void caller_request::give_up(std::string_view reason, milliseconds retry_after)
 {
     if (done_) {
         return;
@@ -486,10 +503,10 @@
         may_have_run_ = cancel_it() || may_have_run_;
     }
     if (may_have_run_) {
-        fail(504, "out_of_time");
+        fail(504, reason);
         return;
     }
-    refuse("out_of_time", milliseconds(0));
+    refuse(reason, retry_after);
 }
 
 void caller_request::cancel()
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -19,6 +19,9 @@
     /// Finds the rule and sends the request to an upstream.
     void start();
 
+    /// Ends the request at the stop deadline of the node.
+    void stop();
+
 private:
     /// A node that may get the request; the own node has no address.
     struct destination {
@@ -43,6 +46,7 @@
     void fail(int status, std::string_view reason);
     void deliver(http_response response);
     void out_of_time();
+    void give_up(std::string_view reason, std::chrono::milliseconds retry_after);
     void cancel();
     void finish();
     std::chrono::milliseconds left() const;
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -110,6 +110,20 @@
     }
 }
 
+void gate_request::stop()
+{
+    if (stage_ != stage::held && stage_ != stage::queued) {
+        return;
+    }
+    const std::shared_ptr<gate_request> self = shared_from_this();
+    const bool queued = stage_ == stage::queued;
+    release(false, false);
+    answer(answer_outcome::draining, {}, "stopping", unavailable_retry_after);
+    if (queued) {
+        owner_->apply(owner_->gate.cancel(id_, owner_->loop.now()));
+    }
+}
+
 void gate_request::forward()
 {
     if (stage_ != stage::queued) {
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -39,6 +39,9 @@
     /// Refuses the request if it waits for the crash guard past its deadline.
     void expire(time_point now);
 
+    /// Refuses the request at the stop deadline of the node unless it runs already.
+    void stop();
+
 private:
     enum class stage { held, queued, running, done };
 
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -58,11 +58,12 @@
 
 constexpr milliseconds expire_period = std::chrono::seconds(30);
 
-// The platform takes a host out of use after two failed readiness checks, one each second;
-// until then new requests still arrive.
-constexpr milliseconds stop_linger{2300};
 constexpr milliseconds stop_check_period{20};
 
+// Enough for a short answer to leave through a link that is busy for a moment, and well within
+// the time that the platform leaves between the stop deadline and the kill.
+constexpr milliseconds stop_flush{300};
+
 constexpr std::string_view configuration_path = "/agatespread/configuration";
 
 constexpr std::size_t client_connections_per_host = 200;
@@ -349,7 +350,7 @@
         if (own_domain && late >= late_loop) {
             log.change("loop_late",
                        {{"by", late},
-                        {"callers_in_flight", static_cast<std::uint64_t>(in_flight)},
+                        {"callers_in_flight", static_cast<std::uint64_t>(caller_requests.size())},
                         {"at_gate", static_cast<std::uint64_t>(gate_requests.size())}});
         }
         if (own_domain) {
@@ -674,6 +675,28 @@
     return known;
 }
 
+void sidecar::impl::end_all_requests()
+{
+    // The queue goes first, or the slots of ended requests would go to queued ones. Ending a
+    // request removes it from its container.
+    std::vector<std::shared_ptr<detail::gate_request>> at_gate;
+    at_gate.reserve(gate_requests.size());
+    for (const auto& each : gate_requests) {
+        at_gate.push_back(each.second);
+    }
+    for (const std::shared_ptr<detail::gate_request>& request : at_gate) {
+        request->stop();
+    }
+    std::vector<std::shared_ptr<detail::caller_request>> waiting;
+    waiting.reserve(caller_requests.size());
+    for (detail::caller_request* const each : caller_requests) {
+        waiting.push_back(each->shared_from_this());
+    }
+    for (const std::shared_ptr<detail::caller_request>& request : waiting) {
+        request->stop();
+    }
+}
+
 void sidecar::impl::check_stop(time_point now, const std::function<void()>& done)
 {
     // A request that crosses the close of an idle connection has not been read, and its caller
@@ -681,16 +704,20 @@
     caller_listener->stop_accepting();
     caller_listener->close_idle();
     const bool idle =
-        in_flight == 0 && gate_requests.empty() && caller_listener->connections() == 0;
-    const bool late = now - stop_started >= settings.stop_deadline;
-    if (!idle && !late) {
+        caller_requests.empty() && gate_requests.empty() && caller_listener->connections() == 0;
+    if (!idle && !ended_all && now - stop_started >= settings.stop_deadline) {
+        ended_all = true;
+        end_all_requests();
+    }
+    if (!idle && now - stop_started < settings.stop_deadline + stop_flush) {
         stop_timer =
             loop.after(stop_check_period, [this, done](time_point at) { check_stop(at, done); });
         return;
     }
-    log.change("stopped", {{"callers_in_flight", static_cast<std::uint64_t>(in_flight)},
-                           {"gate_in_flight", static_cast<std::uint64_t>(gate_requests.size())},
-                           {"log_lines_dropped", log.dropped()}});
+    log.change("stopped",
+               {{"callers_in_flight", static_cast<std::uint64_t>(caller_requests.size())},
+                {"gate_in_flight", static_cast<std::uint64_t>(gate_requests.size())},
+                {"log_lines_dropped", log.dropped()}});
     done();
 }
 
@@ -741,11 +768,11 @@
     }
     impl_->stopping = true;
     impl_->stop_started = impl_->loop.now();
-    impl_->log.change("stopping",
-                      {{"callers_in_flight", static_cast<std::uint64_t>(impl_->in_flight)}});
+    impl_->log.change("stopping", {{"callers_in_flight",
+                                    static_cast<std::uint64_t>(impl_->caller_requests.size())}});
     impl_->send_report();
-    impl_->stop_timer =
-        impl_->loop.after(stop_linger, [raw = impl_.get(), call = std::move(done)](time_point now) {
+    impl_->stop_timer = impl_->loop.after(
+        impl_->settings.stop_linger, [raw = impl_.get(), call = std::move(done)](time_point now) {
             raw->check_stop(now, call);
         });
 }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -7,6 +7,7 @@
 #include <agatespread/sidecar.h>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <map>
@@ -95,6 +96,7 @@
     void serve_call(const std::shared_ptr<http_exchange>& exchange);
     void serve_peer(const std::shared_ptr<http_exchange>& exchange);
     void check_stop(time_point now, const std::function<void()>& done);
+    void end_all_requests();
 
     detail::rule_series& series_of(const std::string& rule);
 
@@ -149,8 +151,9 @@
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<detail::gate_request>> gate_requests;
     std::uint64_t last_gate_id = 0;
     bool gate_check_set = false;
-    std::size_t in_flight = 0; ///< Requests of callers without an answer.
+    absl::flat_hash_set<detail::caller_request*> caller_requests; ///< Requests without an answer.
     bool stopping = false;
+    bool ended_all = false; ///< The stop deadline has passed.
     time_point stop_started;
 };
 
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -121,6 +121,7 @@
             settings.repeats.slack = 1000;
             settings.log.request_lines_per_second = ::getenv("SIDECAR_LOG") != nullptr ? 100 : 0;
             settings.log.descriptor = ::getenv("SIDECAR_LOG") != nullptr ? 1 : -1;
+            adjust(settings);
             at.node = sidecar::start(thread.loop(), store, data, settings, test_dialect(), [this] {
                           return engine();
                       }).value();
@@ -199,6 +200,9 @@
         });
     }
 
+    /// Changes the settings of the nodes that are started after.
+    std::function<void(sidecar_settings&)> adjust = [](sidecar_settings&) {};
+
     loop_thread thread;
     memory_platform store{thread.loop()};
     metrics data;
@@ -444,6 +448,58 @@
     EXPECT_TRUE(thread.eventually([&ended] { return ended.load(); }));
 }
 
+// Guards against connections that close without an answer at the stop deadline: of requests whose
+// upstream is silent and of requests that wait for a slot, at the caller's node and at the gate.
+TEST_F(sidecar_test, shutdown_ends_what_still_waits_at_the_deadline)
+{
+    std::vector<std::shared_ptr<http_exchange>> held;
+    std::atomic<bool> ended{false};
+    adjust = [](sidecar_settings& settings) {
+        settings.stop_linger = milliseconds(50);
+        settings.stop_deadline = milliseconds(300);
+    };
+    start(first, "a", "rounds");
+    configure("1 5000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    first.serve = [&held](const std::shared_ptr<http_exchange>& exchange) {
+        held.push_back(exchange);
+    };
+    std::vector<std::future<http_result>> results;
+    for (const char* const id : {"1", "2"}) {
+        results.push_back(std::async(std::launch::async, [this, id] { return send(first, id); }));
+    }
+    ASSERT_TRUE(thread.eventually([&held] { return held.size() == 2; }));
+    results.push_back(std::async(std::launch::async, [this] { return send(first, "3"); }));
+    const gauge& queued = data.gauge_of("agatespread_gate_queued");
+    ASSERT_TRUE(thread.eventually([&queued] { return queued.value() == 1; }));
+    const auto ended_with = [this](const char* result) {
+        return data
+            .counter_of("agatespread_rule_requests_total", {{"rule", "all"}, {"result", result}})
+            .value();
+    };
+    std::uint64_t failed = 0;
+    std::uint64_t not_run = 0;
+    thread.call([&] {
+        first.node->shut_down([&] {
+            // The process exits here: nothing that comes later reaches a caller.
+            failed = ended_with("failed");
+            not_run = ended_with("refused");
+            ended = true;
+        });
+    });
+    EXPECT_TRUE(thread.eventually([&ended] { return ended.load(); }));
+    EXPECT_EQ(failed, 2U);
+    EXPECT_EQ(not_run, 1U);
+    EXPECT_EQ(results[0].get().response.status, 504);
+    EXPECT_EQ(results[1].get().response.status, 504);
+    const http_result refused = results[2].get();
+    EXPECT_EQ(refused.response.status, 503);
+    EXPECT_TRUE(refused.response.headers.contains("Retry-After"));
+    EXPECT_EQ(first.runs, 2);
+    thread.call([&held] { held.clear(); });
+}
+
 // Guards against a node that starts while the platform is down and serves nothing, though its
 // peers know the configuration.
 TEST_F(sidecar_test, configuration_comes_from_a_peer_while_the_platform_is_down)
