sidecar: the gate refuses requests for another service

X-Target-Instance did not help, as the gate names its own upstream there. Change: the gate refuses a request that names another service than its own as unavailable, at which the caller's node tries another upstream and avoids this one until its next report. Test: sidecar_test.gate_refuses_requests_for_another_service (before: the upstream ran it).

--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -35,6 +35,11 @@
 
 void gate_request::start()
 {
+    // The caller's node may hold an entry of an earlier host with this address.
+    if (call_.service != owner_->settings.service) {
+        answer(answer_outcome::unavailable, {}, "other_service", unavailable_retry_after);
+        return;
+    }
     fingerprint_ =
         hash64(call_.caller_service,
                request_fingerprint(call_.service, request_.method, request_.target, request_.body));
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -1,5 +1,6 @@
 #include "loop_thread.h"
 #include "raw_upstream.h"
+#include "sidecar_call.h"
 
 #include <agatespread/memory_platform.h>
 #include <agatespread/sidecar.h>
@@ -448,6 +449,40 @@
     EXPECT_TRUE(thread.eventually([&ended] { return ended.load(); }));
 }
 
+// Guards against requests that run at a foreign service: the address of a host that is gone was
+// given to a host of another service, and a caller's node has not heard of that yet.
+TEST_F(sidecar_test, gate_refuses_requests_for_another_service)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    open(first);
+    for (const char* const service : {"orders", "rounds"}) {
+        detail::forwarded_call to;
+        to.caller_service = "orders";
+        to.service = service;
+        to.rule = "all";
+        to.left = milliseconds(1000);
+        http_call call;
+        call.url = "http://" + thread.call([this] { return first.node->call_address(); }) + "/x/1";
+        call.request.headers.set(id_header, service);
+        detail::write_call(to, call.request.headers);
+        call.timeout = std::chrono::seconds(10);
+        std::promise<http_result> promise;
+        thread.loop().post([&] {
+            client.send(std::move(call),
+                        [&promise](http_result result) { promise.set_value(std::move(result)); });
+        });
+        const http_result result = promise.get_future().get();
+        const std::optional<detail::forwarded_answer> answer =
+            detail::read_answer(result.response.headers);
+        ASSERT_TRUE(answer.has_value());
+        const bool own = std::string_view(service) == "rounds";
+        EXPECT_EQ(answer->outcome, own ? answer_outcome::answered : answer_outcome::unavailable);
+        EXPECT_EQ(first.runs, own ? 1 : 0);
+    }
+}
+
 // Guards against connections that close without an answer at the stop deadline: of requests whose
 // upstream is silent and of requests that wait for a slot, at the caller's node and at the gate.
 TEST_F(sidecar_test, shutdown_ends_what_still_waits_at_the_deadline)
