placement: an upstream that has not answered yet counts as average

Without an answer an upstream was assumed to take 100 ms where the others were known to take 600 ms, so that most callers of its domain preferred it until its queue was seven times as long. Change: the assumed service time is the mean of the candidates' known ones. Ruled out: the period of the reports alone; with 330 ms it makes queues of 10 to 20 in the model.

--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -40,7 +40,8 @@
     /// Upstreams that one choice looks at. All nodes hold the same reports, which are up to a
     /// period old: with more, they would all choose the same few upstreams until the next one.
     std::size_t sample = 2;
-    /// Assumed before an upstream has answered anything.
+    /// Assumed before any upstream has answered; one that has not counts as fast as the others
+    /// on average.
     std::chrono::nanoseconds unknown_service_time = std::chrono::milliseconds(100);
 };
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,6 +14,19 @@
                                                    : options.unknown_service_time;
 }
 
+/// Returns the mean service time of the candidates that have answered something.
+nanoseconds usual_service_time(const std::vector<placement_candidate>& candidates,
+                               nanoseconds otherwise)
+{
+    nanoseconds sum{0};
+    std::int64_t known = 0;
+    for (const placement_candidate& candidate : candidates) {
+        sum += candidate.load.service_time;
+        known += candidate.load.service_time.count() > 0 ? 1 : 0;
+    }
+    return known == 0 ? otherwise : sum / known;
+}
+
 } // namespace
 
 nanoseconds expected_time(const placement_candidate& candidate, const placement_options& options)
@@ -87,9 +100,11 @@
 } // namespace
 
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
-                                           nanoseconds time_left, const placement_options& options,
+                                           nanoseconds time_left, const placement_options& given,
                                            const random_source& random)
 {
+    placement_options options = given;
+    options.unknown_service_time = usual_service_time(candidates, given.unknown_service_time);
     std::vector<std::size_t> near;
     std::vector<std::size_t> far;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
