placement: compare upstreams by kind, work, link and failures; bound the link's queue

An upstream was known by one mean service time. One that had served short kinds of late looked fast and drew everything (92 queued at 33 ms each beside hosts with 3 of 9 slots in use); its neighbours looked slow because they had served long kinds. The queue's wait was its length times that mean. 2. Callers minimized their own time, so that large answers kept to some hosts until their links were 0.7 to 1.5 s behind, and all small ones to the slots of the others. 3. An upstream that failed part of its calls at once looked idle (1,896 of 22,769 arrivals at the service rejected). 4. Nothing bounded the wait for a link. Change: reports carry the wait for a slot as work, the latest four kinds with their mean time on a slot and on the link, and the share of failed calls (ignored below 15 in 100). A placement counts the own time, the delay for what waits behind, and the time lost by failures; samples are drawn by slots or link, whichever binds. Large answers go to another domain only for a larger gain. A gate refuses large answers, as not run, while its link is more than 400 ms behind. The estimate of the link includes headers.

--- a/include/agatespread/admission.h
+++ b/include/agatespread/admission.h
@@ -7,8 +7,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <mutex>
-#include <set>
 #include <string_view>
 #include <tuple>
 #include <vector>
@@ -30,7 +30,7 @@
     std::uint64_t id = 0;
     std::uint8_t priority = 5; ///< 0 is the most urgent.
     time_point deadline;
-    std::uint64_t kind = 0; ///< Groups calls with similar service times, such as a class.
+    std::uint32_t kind = 0; ///< Groups calls with similar service times, such as a class; not 0.
     time_point target{};    ///< When an answer loses most of its value; the epoch for never.
 };
 
@@ -66,6 +66,8 @@
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
     std::chrono::nanoseconds service_time{0}; ///< Mean over all kinds; 0 before the first answer.
+    std::chrono::nanoseconds wait{0};         ///< Until a slot is free for a new call.
+    kind_times kinds{};
 };
 
 /// Grants the slots of the own upstream to calls by class priority and deadline.
@@ -129,9 +131,10 @@
     bool meets_target(const call& queued, nanoseconds wait, time_point now) const;
     bool late_calls_fit(time_point now) const;
     std::uint32_t open_slots(time_point now) const;
-    nanoseconds expected_duration(std::uint64_t kind) const;
+    nanoseconds expected_duration(std::uint32_t kind) const;
+    nanoseconds wait_behind(nanoseconds work, std::uint32_t slots) const;
     nanoseconds expected_wait(const order& place, time_point now) const;
-    bool take_probe(std::uint64_t kind, time_point now);
+    bool take_probe(std::uint32_t kind, time_point now);
     bool fits(const admission_request& request, const order& place, time_point now);
     std::chrono::milliseconds retry_after(time_point now) const;
     void refuse(std::uint64_t id, refusal_reason reason, time_point now,
@@ -140,6 +143,7 @@
     void drop_late(time_point now, admission_actions& actions);
     void fill(time_point now, admission_actions& actions);
     void record(const call& ended, time_point now);
+    void note_kind(std::uint32_t kind, nanoseconds mean);
 
     const admission_options options_;
     mutable std::mutex mutex_;
@@ -147,9 +151,10 @@
     std::uint32_t slots_ = 0;
     time_point ready_since_;
     std::uint32_t running_ = 0;
-    std::set<order> queue_;
+    std::map<order, nanoseconds> queue_; ///< With the expected time on a slot.
     absl::flat_hash_map<std::uint64_t, call> calls_;
-    absl::flat_hash_map<std::uint64_t, service_time> times_;
+    absl::flat_hash_map<std::uint32_t, service_time> times_;
+    kind_times kinds_; ///< The latest first.
     service_time overall_;
 };
 
--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <agatespread/admission.h>
 #include <agatespread/base.h>
+#include <agatespread/failure_rate.h>
+#include <agatespread/link_backlog.h>
 #include <agatespread/placement.h>
 #include <agatespread/wire.h>
 
@@ -44,6 +47,10 @@
     std::vector<crash_report> crashes; ///< Of the last seconds.
 };
 
+/// Returns what a node reports of its own upstream.
+reported_load load_report(const admission_load& gate, const link_backlog& link,
+                          const failure_rate& failures, time_point now);
+
 /// Returns the CBOR form of a report.
 std::string encode_report(const peer_report& report);
 
--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <agatespread/base.h>
+#include <agatespread/wire.h>
 
 #include <chrono>
 #include <cstdint>
@@ -14,10 +15,18 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
-    std::chrono::nanoseconds service_time{0}; ///< Mean time of a call on a slot.
+    std::chrono::nanoseconds service_time{0}; ///< Mean time of a call on a slot, over all kinds.
+    std::chrono::nanoseconds wait{0};         ///< Until a slot is free for a new call.
+    kind_times kinds{};                       ///< The same mean for the kinds it serves.
     std::chrono::nanoseconds link_delay{0};   ///< How long an answer waits for the host's link.
+    std::chrono::nanoseconds answer_time{0};  ///< For which a mean answer occupies that link.
+    double failing = 0;                       ///< Share of its calls that the upstream fails.
 };
 
+/// Shares travel in messages as thousandths.
+std::uint64_t to_permille(double share);
+double from_permille(std::uint64_t permille);
+
 /// An upstream that a request may go to.
 struct placement_candidate {
     reported_load load;
@@ -26,6 +35,13 @@
     bool local_domain = true;
 };
 
+/// A request that looks for an upstream.
+struct placement_request {
+    std::uint32_t kind = 0;                ///< As in `kind_time`; 0 for none.
+    std::chrono::nanoseconds time_left{0}; ///< Until an answer loses most of its value.
+    double answer_bytes = 0;               ///< Mean size of the answers to its kind.
+};
+
 /// The weights of a placement.
 struct placement_options {
     /// Costs within this share of the service time count as equal, so that nodes with the same
@@ -37,6 +53,10 @@
     /// Another domain must be expected to answer within this part of the own domain's time: the
     /// estimates are means of few requests, and differ as much between equal upstreams.
     double far_gain = 0.7;
+    /// The same for large answers, as operators pay for the bytes between domains. One large answer
+    /// weighs as much as a dozen others.
+    double large_far_gain = 0.4;
+    double large_answer_bytes = 30000;
     /// Upstreams that one choice looks at. All nodes hold the same reports, which are up to a
     /// period old: with more, they would all choose the same few upstreams until the next one.
     std::size_t sample = 2;
@@ -45,9 +65,9 @@
     std::chrono::nanoseconds unknown_service_time = std::chrono::milliseconds(100);
 };
 
-/// Returns how long a request is expected to take at a candidate.
+/// Returns how long a request with a time on a slot is expected to take at a candidate.
 std::chrono::nanoseconds expected_time(const placement_candidate& candidate,
-                                       const placement_options& options);
+                                       std::chrono::nanoseconds service);
 
 /// Chooses the upstream that is expected to answer first, or nothing without candidates.
 ///
@@ -55,9 +75,14 @@
 /// domain whose callers need more slots than it has. Requests stay in their failure domain, as
 /// links between domains are slow and expensive, until its upstreams are expected to answer
 /// later than the local share of `time_left`, and another domain clearly sooner. Among many
-/// upstreams, the better of two is taken that are drawn in proportion to their speed.
+/// upstreams, the better of two is taken that are drawn in proportion to their speed. A failure
+/// costs the caller `time_left`, which counts by the share of calls that an upstream fails.
+///
+/// An upstream that served short kinds of late would look faster than it is, draw all of them, and
+/// leave its neighbours idle; so that service times are compared for the kind of the request, and
+/// the queue counts by its work.
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
-                                           std::chrono::nanoseconds time_left,
+                                           const placement_request& request,
                                            const placement_options& options,
                                            const random_source& random);
 
--- a/include/agatespread/wire.h
+++ b/include/agatespread/wire.h
@@ -5,6 +5,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -22,6 +23,19 @@
 /// Whether an upstream takes new work.
 enum class upstream_state : std::uint8_t { gone, starting, ready, draining };
 
+/// What the calls of one kind take at an upstream, on average.
+struct kind_time {
+    std::uint32_t kind = 0;           ///< Of `kind_of`; 0 for none.
+    std::chrono::nanoseconds mean{0}; ///< On a slot.
+    std::chrono::nanoseconds link{0}; ///< For which the answer occupies the host's link.
+};
+
+/// Returns the kind of the calls of a class or rule.
+std::uint32_t kind_of(std::string_view name);
+
+/// The kinds that an upstream has served most lately.
+using kind_times = std::array<kind_time, 4>;
+
 /// The back end on a target, as announced by itself.
 struct upstream_record {
     std::string fleet;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -87,16 +87,16 @@
         return actions;
     }
     if (queue_.size() >= options_.queue_length) {
-        if (queue_.empty() || *queue_.rbegin() < place) {
+        if (queue_.empty() || queue_.rbegin()->first < place) {
             refuse(request.id, refusal_reason::queue_full, now, actions);
             return actions;
         }
-        const std::uint64_t least_urgent = std::get<3>(*queue_.rbegin());
+        const std::uint64_t least_urgent = std::get<3>(queue_.rbegin()->first);
         queue_.erase(std::prev(queue_.end()));
         calls_.erase(least_urgent);
         refuse(least_urgent, refusal_reason::shed, now, actions);
     }
-    queue_.insert(place);
+    queue_.emplace(place, expected_duration(request.kind));
     entering.probe = probe;
     calls_[request.id] = entering;
     fill(now, actions);
@@ -153,8 +153,15 @@
 admission_load admission::load(time_point now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return admission_load{running_, static_cast<std::uint32_t>(queue_.size()), open_slots(now),
-                          overall_.mean};
+    const std::uint32_t slots = open_slots(now);
+    nanoseconds queued{0};
+    for (const std::pair<const order, nanoseconds>& each : queue_) {
+        queued += each.second;
+    }
+    const bool free = running_ < slots && queue_.empty();
+    return admission_load{
+        running_,      static_cast<std::uint32_t>(queue_.size()),          slots,
+        overall_.mean, free ? nanoseconds(0) : wait_behind(queued, slots), kinds_};
 }
 
 bool admission::idle() const
@@ -175,7 +182,7 @@
     return std::max(1U, static_cast<std::uint32_t>(slots_ * share));
 }
 
-admission::nanoseconds admission::expected_duration(std::uint64_t kind) const
+admission::nanoseconds admission::expected_duration(std::uint32_t kind) const
 {
     const auto found = times_.find(kind);
     return found == times_.end() ? overall_.mean : found->second.mean;
@@ -187,8 +194,17 @@
     if (running_ < slots && queue_.empty()) {
         return nanoseconds(0);
     }
-    const std::int64_t ahead = std::distance(queue_.begin(), queue_.lower_bound(place));
-    return overall_.mean * (ahead + 1) / std::max(1U, slots);
+    nanoseconds ahead{0};
+    for (auto each = queue_.begin(); each != queue_.end() && each->first < place; ++each) {
+        ahead += each->second;
+    }
+    return wait_behind(ahead, slots);
+}
+
+admission::nanoseconds admission::wait_behind(nanoseconds work, std::uint32_t slots) const
+{
+    // The first slot becomes free after about a mean call over the number of slots.
+    return (work + overall_.mean) / std::max(1U, slots);
 }
 
 admission::order admission::place_of(const call& queued)
@@ -211,7 +227,7 @@
     return static_cast<double>(queue_.size()) < options_.late_queue * open_slots(now);
 }
 
-bool admission::take_probe(std::uint64_t kind, time_point now)
+bool admission::take_probe(std::uint32_t kind, time_point now)
 {
     service_time& known = times_[kind];
     if (now - known.last_probe < options_.probe_period) {
@@ -245,10 +261,12 @@
     if (state_ == upstream_state::gone || state_ == upstream_state::starting) {
         return std::max(options_.min_retry_after, unavailable_retry_after);
     }
-    const nanoseconds drained = overall_.mean * static_cast<std::int64_t>(queue_.size() + 1) /
-                                std::max(1U, open_slots(now));
-    return std::max(options_.min_retry_after,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(drained));
+    nanoseconds queued{0};
+    for (const std::pair<const order, nanoseconds>& each : queue_) {
+        queued += each.second;
+    }
+    return std::max(options_.min_retry_after, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                  wait_behind(queued, open_slots(now))));
 }
 
 void admission::refuse(std::uint64_t id, refusal_reason reason, time_point now,
@@ -259,9 +277,10 @@
 
 void admission::refuse_queue(refusal_reason reason, time_point now, admission_actions& actions)
 {
-    for (const order& place : queue_) {
-        calls_.erase(std::get<3>(place));
-        refuse(std::get<3>(place), reason, now, actions);
+    for (const std::pair<const order, nanoseconds>& each : queue_) {
+        const std::uint64_t id = std::get<3>(each.first);
+        calls_.erase(id);
+        refuse(id, reason, now, actions);
     }
     queue_.clear();
 }
@@ -269,14 +288,14 @@
 void admission::drop_late(time_point now, admission_actions& actions)
 {
     const std::uint32_t slots = std::max(1U, open_slots(now));
-    std::int64_t ahead = 0;
+    nanoseconds ahead{0};
     for (auto place = queue_.begin(); place != queue_.end();) {
-        const call& queued = calls_.at(std::get<3>(*place));
-        const nanoseconds wait = overall_.mean * (ahead + 1) / slots;
-        const nanoseconds needed = wait + expected_duration(queued.request.kind);
+        const call& queued = calls_.at(std::get<3>(place->first));
+        const nanoseconds needed =
+            wait_behind(ahead, slots) + expected_duration(queued.request.kind);
         const nanoseconds left = queued.request.deadline - now;
         if (left > nanoseconds(0) && (queued.probe || needed <= left)) {
-            ++ahead;
+            ahead += place->second;
             ++place;
             continue;
         }
@@ -293,13 +312,13 @@
 {
     const std::uint32_t slots = open_slots(now);
     while (running_ < slots && !queue_.empty()) {
-        const std::uint64_t id = std::get<3>(*queue_.begin());
+        const std::uint64_t id = std::get<3>(queue_.begin()->first);
         queue_.erase(queue_.begin());
         call& next = calls_.at(id);
         if (!next.late && !meets_target(next, nanoseconds(0), now) && running_ > 0) {
             next.late = true;
             if (late_calls_fit(now)) {
-                queue_.insert(place_of(next));
+                queue_.emplace(place_of(next), expected_duration(next.request.kind));
                 continue;
             }
             calls_.erase(id);
@@ -342,6 +361,17 @@
         known->mean += error / mean_weight;
         known->deviation += (distance - known->deviation) / deviation_weight;
     }
+    note_kind(ended.request.kind, kind.mean);
+}
+
+void admission::note_kind(std::uint32_t kind, nanoseconds mean)
+{
+    const auto known = std::find_if(kinds_.begin(), kinds_.end(),
+                                    [kind](const kind_time& each) { return each.kind == kind; });
+    // The latest kind goes first, so that one that comes no more is replaced by a new one.
+    const auto last = known == kinds_.end() ? std::prev(kinds_.end()) : known;
+    std::move_backward(kinds_.begin(), last, std::next(last));
+    kinds_.front() = {kind, mean, nanoseconds(0)};
 }
 
 } // namespace agatespread
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -36,6 +36,10 @@
 // A repeat is useful only if an upstream is likely to answer in what is left.
 constexpr milliseconds shortest_repeat{40};
 
+// Weight of a new answer in the mean size of a rule's answers; sizes of one rule differ by less
+// than a factor of ten.
+constexpr double answer_bytes_weight = 0.1;
+
 // Round trips inside a failure domain and between two of them; they only rank upstreams.
 constexpr milliseconds near_distance{1};
 constexpr milliseconds far_distance{10};
@@ -168,10 +172,12 @@
     const bool own = service_ == owner_->settings.service &&
                      owner_->gate_state() == upstream_state::ready && !owner_->stopping;
     if (own && !tried(owner_->settings.node)) {
-        const admission_load load = owner_->gate.load(now);
         destination here;
         here.node = owner_->settings.node;
-        here.load.load = {load.running, load.queued, load.slots, load.service_time, {}};
+        here.load.load = owner_->own_load();
+        // The answer does not leave through the link.
+        here.load.load.link_delay = std::chrono::nanoseconds(0);
+        here.load.load.answer_time = std::chrono::nanoseconds(0);
         result.push_back(std::move(here));
     }
     for (const eligible_peer& peer : owner_->others.eligible(service_, now)) {
@@ -204,7 +210,8 @@
         loads.push_back(each.load);
     }
     const std::optional<std::size_t> chosen =
-        choose_upstream(loads, time_to_target(), owner_->settings.placement, owner_->random);
+        choose_upstream(loads, {kind_of(rule_->name), time_to_target(), series_->mean_answer_bytes},
+                        owner_->settings.placement, owner_->random);
     if (!chosen) {
         if (may_have_run_) {
             fail(502, "no_other_upstream");
@@ -466,6 +473,8 @@
         const std::chrono::nanoseconds taken = owner_->loop.now() - started_;
         series_->answered.add();
         series_->duration.record(taken);
+        const double bytes = static_cast<double>(response.body.size());
+        series_->mean_answer_bytes += (bytes - series_->mean_answer_bytes) * answer_bytes_weight;
         if (response.status >= 500 || owner_->log.sample_success()) {
             owner_->log.request("request_answered", context_.request_id,
                                 {{"status", response.status},
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -66,6 +66,14 @@
     if (stage_ != stage::held) {
         return;
     }
+    const time_point now = owner_->loop.now();
+    const std::uint32_t kind = kind_of(call_.rule);
+    if (!owner_->link.takes(kind, now)) {
+        const milliseconds wait = duration_cast<milliseconds>(owner_->link.delay(now));
+        release(false, false);
+        answer(answer_outcome::not_run, {}, "link_full", wait);
+        return;
+    }
     stage_ = stage::queued;
     admission_request asked;
     asked.id = id_;
@@ -73,11 +81,11 @@
     // A refusal must reach the caller's node before its deadline, or nobody knows that the
     // request has not run.
     asked.deadline = deadline_ - refusal_margin;
-    asked.kind = hash64(call_.rule);
+    asked.kind = kind;
     if (call_.target) {
         asked.target = arrived_ + *call_.target;
     }
-    owner_->apply(owner_->gate.offer(asked, owner_->loop.now()));
+    owner_->apply(owner_->gate.offer(asked, now));
     owner_->schedule_gate_check();
 }
 
@@ -195,6 +203,7 @@
     const bool refused = facts.not_run || facts.other_instance;
     const bool spoiled = !refused && ((served && !facts.authentic) || facts.encoded ||
                                       (served && facts.request_id != request_id_));
+    owner_->failures.add(refused || spoiled || result.response.status >= 500, now);
     release(!refused && !spoiled, false);
     owner_->apply(owner_->gate.finish(id_, served && !spoiled, now));
     if (facts.other_instance) {
@@ -215,6 +224,7 @@
 
 void gate_request::lost(const http_result& result)
 {
+    owner_->failures.add(true, owner_->loop.now());
     if (result.outcome == http_outcome::timed_out) {
         release(false, false);
         owner_->apply(owner_->gate.finish(id_, false, owner_->loop.now()));
@@ -283,8 +293,7 @@
     }
     forwarded_answer facts;
     facts.outcome = outcome;
-    facts.load = {load.running, load.queued, load.slots, load.service_time,
-                  owner_->link.delay(now)};
+    facts.load = owner_->own_load();
     facts.retry_after = retry_after;
     facts.held = duration_cast<milliseconds>(now - arrived_);
     facts.reason = std::move(reason);
--- a/src/inbound_call.cpp
+++ b/src/inbound_call.cpp
@@ -87,7 +87,7 @@
     if (std::exchange(waits_, false)) {
         owner_->waiting.fetch_sub(1);
     }
-    const admission_request request{id_, call_.priority, deadline_, hash64(call_.request_class)};
+    const admission_request request{id_, call_.priority, deadline_, kind_of(call_.request_class)};
     owner_->apply(owner_->gate.offer(request, lane_.now()), &lane_);
 }
 
--- a/src/link_backlog.cpp
+++ b/src/link_backlog.cpp
@@ -8,26 +8,79 @@
 
 using seconds = std::chrono::duration<double>;
 
+// Headers of a message between nodes or to a caller.
+constexpr double message_header_bytes = 500;
+
+// Ethernet, IP and TCP headers beside each 1,448 bytes of a packet, and the acknowledgements of the
+// other direction.
+constexpr double packet_factor = 1.08;
+
+// Weight of a new answer in the mean: sizes differ by more than ten within one service.
+constexpr double mean_weight = 1.0 / 64;
+
+// Large answers wait for at most this time, half a second less the spread of sizes: a host whose
+// packets wait for longer misses its bounds for changes of the configuration.
+constexpr std::chrono::milliseconds max_wait{400};
+
+// Answers that occupy the link for less are always taken.
+constexpr std::chrono::milliseconds small_answer{10};
+
+double bytes_on_link(std::size_t body_bytes)
+{
+    return (static_cast<double>(body_bytes) + message_header_bytes) * packet_factor;
+}
+
 } // namespace
 
-void link_backlog::add(std::size_t bytes, time_point now)
+void link_backlog::add(std::size_t body_bytes, time_point now)
 {
     if (rate_ <= 0) {
         return;
     }
-    bytes_ =
-        std::max(0.0, bytes_ - seconds(now - at_).count() * rate_) + static_cast<double>(bytes);
+    bytes_ = std::max(0.0, bytes_ - seconds(now - at_).count() * rate_) + bytes_on_link(body_bytes);
     at_ = now;
 }
 
+void link_backlog::add_answer(std::uint32_t kind, std::size_t body_bytes, time_point now)
+{
+    add(body_bytes, now);
+    const double bytes = bytes_on_link(body_bytes);
+    for (double* const mean : {&mean_answer_, &kinds_[kind]}) {
+        *mean = *mean > 0 ? *mean + (bytes - *mean) * mean_weight : bytes;
+    }
+}
+
+std::chrono::nanoseconds link_backlog::time_of(double bytes) const
+{
+    if (rate_ <= 0) {
+        return std::chrono::nanoseconds(0);
+    }
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(seconds(bytes / rate_));
+}
+
+std::chrono::nanoseconds link_backlog::answer_time() const
+{
+    return time_of(mean_answer_);
+}
+
+std::chrono::nanoseconds link_backlog::answer_time(std::uint32_t kind) const
+{
+    const auto known = kinds_.find(kind);
+    return known == kinds_.end() ? std::chrono::nanoseconds(0) : time_of(known->second);
+}
+
+bool link_backlog::takes(std::uint32_t kind, time_point now) const
+{
+    return delay(now) <= max_wait || answer_time(kind) <= small_answer;
+}
+
 std::chrono::nanoseconds link_backlog::delay(time_point now) const
 {
     if (rate_ <= 0) {
         return std::chrono::nanoseconds(0);
     }
     const double left = bytes_ - seconds(now - at_).count() * rate_;
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(
-        seconds(std::max(0.0, left) / rate_));
+    return time_of(std::max(0.0, left));
 }
 
 } // namespace agatespread
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -107,6 +107,25 @@
     from.read("r", entry.report_address);
 }
 
+/// Reads a kind and its two mean times, for several kinds.
+bool read_kinds(const json& list, kind_times& kinds)
+{
+    constexpr std::size_t fields_of_kind = 3;
+    const bool numbers = std::all_of(list.begin(), list.end(),
+                                     [](const json& value) { return value.is_number_unsigned(); });
+    if (!numbers || list.size() % fields_of_kind != 0 ||
+        list.size() > fields_of_kind * kinds.size()) {
+        return false;
+    }
+    for (std::size_t index = 0; index < list.size(); index += fields_of_kind) {
+        kinds[index / fields_of_kind] = {
+            static_cast<std::uint32_t>(list[index].get<std::uint64_t>()),
+            std::chrono::nanoseconds(list[index + 1].get<std::uint64_t>()),
+            std::chrono::nanoseconds(list[index + 2].get<std::uint64_t>())};
+    }
+    return true;
+}
+
 std::string to_bytes(const json& value)
 {
     std::string bytes;
@@ -116,6 +135,25 @@
 
 } // namespace
 
+reported_load load_report(const admission_load& gate, const link_backlog& link,
+                          const failure_rate& failures, time_point now)
+{
+    reported_load load;
+    load.running = gate.running;
+    load.queued = gate.queued;
+    load.slots = gate.slots;
+    load.service_time = gate.service_time;
+    load.wait = gate.wait;
+    load.kinds = gate.kinds;
+    for (kind_time& known : load.kinds) {
+        known.link = link.answer_time(known.kind);
+    }
+    load.link_delay = link.delay(now);
+    load.answer_time = link.answer_time();
+    load.failing = failures.share(now);
+    return load;
+}
+
 std::string encode_entry(const peer_entry& entry)
 {
     return to_bytes(to_json(entry));
@@ -151,6 +189,17 @@
     value["l"] = report.load.slots;
     value["m"] = static_cast<std::uint64_t>(report.load.service_time.count());
     value["k"] = static_cast<std::uint64_t>(report.load.link_delay.count());
+    value["i"] = static_cast<std::uint64_t>(report.load.wait.count());
+    value["h"] = json::array();
+    for (const kind_time& known : report.load.kinds) {
+        if (known.kind != 0) {
+            value["h"].push_back(known.kind);
+            value["h"].push_back(static_cast<std::uint64_t>(known.mean.count()));
+            value["h"].push_back(static_cast<std::uint64_t>(known.link.count()));
+        }
+    }
+    value["a"] = static_cast<std::uint64_t>(report.load.answer_time.count());
+    value["e"] = to_permille(report.load.failing);
     value["v"] = report.in_force;
     value["f"] = report.reads_platform ? 1U : 0U;
     value["x"] = std::move(crashes);
@@ -165,6 +214,9 @@
     std::uint64_t state = 0;
     std::uint64_t service_time = 0;
     std::uint64_t link_delay = 0;
+    std::uint64_t wait = 0;
+    std::uint64_t answer_time = 0;
+    std::uint64_t failing = 0;
     std::uint64_t reads = 0;
     from.read("p", report.process);
     from.read("q", report.sequence);
@@ -174,6 +226,12 @@
     from.read("l", report.load.slots);
     from.read("m", service_time);
     from.read("k", link_delay);
+    from.read("i", wait);
+    if (!read_kinds(from.list("h"), report.load.kinds)) {
+        return malformed("h");
+    }
+    from.read("a", answer_time);
+    from.read("e", failing);
     from.read("v", report.in_force);
     from.read("f", reads);
     for (const json& entry : from.list("x")) {
@@ -207,6 +265,9 @@
     report.state = static_cast<upstream_state>(state);
     report.load.service_time = std::chrono::nanoseconds(service_time);
     report.load.link_delay = std::chrono::nanoseconds(link_delay);
+    report.load.wait = std::chrono::nanoseconds(wait);
+    report.load.answer_time = std::chrono::nanoseconds(answer_time);
+    report.load.failing = from_permille(failing);
     report.reads_platform = reads != 0;
     return report;
 }
@@ -279,7 +340,10 @@
         return;
     }
     peer& known = found->second;
+    // Answers leave the kinds out to stay small.
+    const kind_times kinds = known.load.kinds;
     known.load = load;
+    known.load.kinds = kinds;
     known.sent_since = 0;
     known.heard = now;
     const bool fresh = now - known.transit_at <= options_.transit_memory;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -323,16 +323,20 @@
     });
 }
 
+reported_load sidecar::impl::own_load() const
+{
+    const time_point now = loop.now();
+    return load_report(gate.load(now), link, failures, now);
+}
+
 peer_report sidecar::impl::make_report() const
 {
-    const admission_load load = gate.load(loop.now());
     peer_report report;
     report.entry = own_entry();
     report.process = process;
     report.sequence = report_sequence;
     report.state = stopping ? upstream_state::draining : gate_state();
-    report.load = {load.running, load.queued, load.slots, load.service_time,
-                   link.delay(loop.now())};
+    report.load = own_load();
     report.reads_platform = !reading_configuration || !configuration_watch->failing();
     report.in_force = table ? table->version() : 0;
     for (const std::pair<time_point, crash_report>& crash : crashes) {
@@ -638,15 +642,15 @@
     const std::uint64_t id = ++last_gate_id;
     const std::shared_ptr<detail::gate_request> arrived = std::make_shared<detail::gate_request>(
         shared_from_this(), id, std::move(*call), std::move(request),
-        [exchange, weak = weak_from_this()](const detail::forwarded_answer& answer,
-                                            http_response response) {
+        [exchange, kind = kind_of(call->rule),
+         weak = weak_from_this()](const detail::forwarded_answer& answer, http_response response) {
             strip_headers(response.headers);
             if (answer.outcome != answer_outcome::answered) {
                 response.status = 503;
             }
             detail::write_answer(answer, response.headers);
             if (const std::shared_ptr<impl> live = weak.lock()) {
-                live->link.add(response.body.size(), live->loop.now());
+                live->link.add_answer(kind, response.body.size(), live->loop.now());
             }
             exchange->respond(std::move(response));
         });
--- a/src/sidecar_call.cpp
+++ b/src/sidecar_call.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 
 namespace agatespread::detail {
@@ -93,9 +94,10 @@
     headers.set(answer_header,
                 absl::StrCat(std::string(name_of(answer.outcome)), ";", answer.load.running, ";",
                              answer.load.queued, ";", answer.load.slots, ";",
-                             answer.load.service_time.count(), ";", answer.load.link_delay.count(),
-                             ";", answer.retry_after.count(), ";", answer.held.count(), ";",
-                             answer.reason));
+                             answer.load.service_time.count(), ";", answer.load.wait.count(), ";",
+                             answer.load.link_delay.count(), ";", answer.load.answer_time.count(),
+                             ";", to_permille(answer.load.failing), ";", answer.retry_after.count(),
+                             ";", answer.held.count(), ";", answer.reason));
 }
 
 std::optional<forwarded_answer> read_answer(const http_headers& headers)
@@ -115,7 +117,10 @@
     answer.load.queued = parts.number<std::uint32_t>();
     answer.load.slots = parts.number<std::uint32_t>();
     answer.load.service_time = std::chrono::nanoseconds(parts.number<std::int64_t>());
+    answer.load.wait = std::chrono::nanoseconds(parts.number<std::int64_t>());
     answer.load.link_delay = std::chrono::nanoseconds(parts.number<std::int64_t>());
+    answer.load.answer_time = std::chrono::nanoseconds(parts.number<std::int64_t>());
+    answer.load.failing = from_permille(parts.number<std::uint64_t>());
     answer.retry_after = milliseconds(parts.number<std::int64_t>());
     answer.held = milliseconds(parts.number<std::int64_t>());
     answer.reason = parts.text();
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -3,6 +3,7 @@
 #include "datagram_socket.h"
 #include "sidecar_call.h"
 
+#include <agatespread/failure_rate.h>
 #include <agatespread/link_backlog.h>
 #include <agatespread/sidecar.h>
 
@@ -33,6 +34,7 @@
     counter& cancelled;
     counter& repeats;
     histogram& duration;
+    double mean_answer_bytes = 0;
 };
 
 /// The counters of a sidecar that have no rule.
@@ -76,6 +78,7 @@
     void send_report();
     void send_report(bool own_domain);
     void relieve_connections();
+    reported_load own_load() const;
     peer_report make_report() const;
     void take_report(std::string_view bytes);
     void share_crashes(const std::vector<crash_report>& reports);
@@ -123,6 +126,7 @@
     admission gate;
     link_backlog link;
     upstream_lifecycle upstream;
+    failure_rate failures; ///< Of the own upstream.
 
     http_client client; ///< To other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -336,4 +336,10 @@
 
 } // namespace detail
 
+std::uint32_t kind_of(std::string_view rule)
+{
+    // 0 stands for no kind.
+    return std::max(static_cast<std::uint32_t>(hash64(rule)), 1U);
+}
+
 } // namespace agatespread
--- a/test/load_model.h
+++ b/test/load_model.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <agatespread/admission.h>
+#include <agatespread/failure_rate.h>
+#include <agatespread/link_backlog.h>
 #include <agatespread/peers.h>
 #include <agatespread/placement.h>
 
@@ -25,6 +27,7 @@
     std::chrono::milliseconds target{0};
     std::chrono::milliseconds timeout{0};
     std::uint8_t priority = 2;
+    std::size_t answer_bytes = 0;
 };
 
 struct model_options {
@@ -37,7 +40,8 @@
     peer_options peers;
     placement_options placement;
     admission_options admission{100, std::chrono::milliseconds(0)};
-    int retries = 2; ///< By which a refused caller comes back.
+    double link_bytes_per_second = 0; ///< Of each host; 0 for links that never fill.
+    int retries = 2;                  ///< By which a refused caller comes back.
     std::uint64_t seed = 7;
 };
 
@@ -48,8 +52,10 @@
     std::uint64_t late = 0;
     std::uint64_t refused = 0; ///< For good.
     std::uint64_t refusals = 0;
-    std::uint64_t far = 0; ///< Answered from another failure domain.
+    std::uint64_t failures = 0; ///< By upstreams.
+    std::uint64_t far = 0;      ///< Answered from another failure domain.
     std::uint64_t most_queued = 0;
+    std::chrono::nanoseconds waited{0}; ///< By the callers that were answered.
 
     double share(std::uint64_t part) const
     {
@@ -72,6 +78,9 @@
     /// Takes an upstream out of service, before the model runs.
     void close(std::size_t index);
 
+    /// Makes an upstream fail a share of its calls at once, as not run.
+    void fail(std::size_t index, double share) { nodes_[index].failing = share; }
+
     /// Changes the rate of all kinds.
     void set_rate(double factor) { rate_ = factor; }
 
@@ -88,6 +97,10 @@
         bool has_upstream = false;
         bool open = true;
         double speed = 1;
+        double failing = 0;
+        failure_rate failures;
+        std::unique_ptr<link_backlog> link; ///< What the node believes.
+        time_point link_free;               ///< When the link has sent all that it was given.
         std::uint64_t sequence = 0;
         std::uint64_t runs = 0;
         std::unique_ptr<peers> others;
@@ -123,6 +136,8 @@
     void attempt(std::size_t id);
     void offer(std::size_t id, std::size_t to);
     void apply(std::size_t at, const admission_actions& actions);
+    std::chrono::nanoseconds send_answer(std::size_t from, std::size_t kind);
+    void fail_call(std::size_t id, std::size_t at);
     void refused(std::size_t id, std::size_t by, std::chrono::milliseconds retry_after);
     void answered(std::size_t id, std::size_t by);
     void check_gates();
