tools: a soak with random faults on real processes

Cause: the users ask for a soak of our own; the demo plays one fixed sequence of faults only. The sidecar is not covered.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: packages configure build check demo smoke lint format clean
+.PHONY: packages configure build check demo smoke soak lint format clean
 
 packages:
 	tools/install-packages
@@ -29,5 +29,9 @@
 smoke: build
 	tools/bench $(BUILD) convergence --sweep 2x3 --services 5 --changes 2 --idle-seconds 1 --settle 1
 
+# Random faults on real processes; SEED repeats a run.
+soak: build
+	tools/soak $(BUILD) $(if $(SEED),--seed $(SEED))
+
 clean:
 	rm -rf $(BUILD)
