placement, link_backlog: state units and origin of the constants

Cause: read as a newcomer, the size of a large answer, the bound on the link's wait and the size of a small answer had no unit or origin, and two comments read badly.

--- a/include/agatespread/placement.h
+++ b/include/agatespread/placement.h
@@ -19,7 +19,7 @@
     std::chrono::nanoseconds wait{0};         ///< Until a slot is free for a new call.
     kind_times kinds{};                       ///< The same mean for the kinds it serves.
     std::chrono::nanoseconds link_delay{0};   ///< How long an answer waits for the host's link.
-    std::chrono::nanoseconds answer_time{0};  ///< For which a mean answer occupies that link.
+    std::chrono::nanoseconds answer_time{0};  ///< Time on that link of a mean answer.
     double failing = 0;                       ///< Share of its calls that the upstream fails.
 };
 
@@ -53,9 +53,11 @@
     /// Another domain must be expected to answer within this part of the own domain's time: the
     /// estimates are means of few requests, and differ as much between equal upstreams.
     double far_gain = 0.7;
-    /// The same for large answers, as operators pay for the bytes between domains. One large answer
-    /// weighs as much as a dozen others.
+    /// The same for large answers, as operators pay for the bytes between domains (measured against
+    /// 0.7 and 0.5 for all answers, docs/rounds.md, round 11).
     double large_far_gain = 0.4;
+    /// Mean size in bytes from which answers count as large: between the pages of 5 kB and the
+    /// pictures of 90 kB that the users' services send.
     double large_answer_bytes = 30000;
     /// Upstreams that one choice looks at. All nodes hold the same reports, which are up to a
     /// period old: with more, they would all choose the same few upstreams until the next one.
@@ -78,9 +80,9 @@
 /// upstreams, the better of two is taken that are drawn in proportion to their speed. A failure
 /// costs the caller `time_left`, which counts by the share of calls that an upstream fails.
 ///
-/// An upstream that served short kinds of late would look faster than it is, draw all of them, and
-/// leave its neighbours idle; so that service times are compared for the kind of the request, and
-/// the queue counts by its work.
+/// Service times are compared for the kind of the request, and a queue counts by its work. With one
+/// mean for all kinds, an upstream that has just served short ones looks faster than it is and
+/// draws most requests, while its neighbours are idle.
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
                                            const placement_request& request,
                                            const placement_options& options,
--- a/include/agatespread/wire.h
+++ b/include/agatespread/wire.h
@@ -33,7 +33,7 @@
 /// Returns the kind of the calls of a class or rule.
 std::uint32_t kind_of(std::string_view name);
 
-/// The kinds that an upstream has served most lately.
+/// The kinds that an upstream has served last; the users' services have up to three.
 using kind_times = std::array<kind_time, 4>;
 
 /// The back end on a target, as announced by itself.
--- a/src/link_backlog.cpp
+++ b/src/link_backlog.cpp
@@ -11,18 +11,19 @@
 // Headers of a message between nodes or to a caller.
 constexpr double message_header_bytes = 500;
 
-// Ethernet, IP and TCP headers beside each 1,448 bytes of a packet, and the acknowledgements of the
-// other direction.
+// Ethernet, IP and TCP headers add 5 in 100 to the 1,448 bytes of a packet; the acknowledgements of
+// the other direction take up to 3 more.
 constexpr double packet_factor = 1.08;
 
 // Weight of a new answer in the mean: sizes differ by more than ten within one service.
 constexpr double mean_weight = 1.0 / 64;
 
-// Large answers wait for at most this time, half a second less the spread of sizes: a host whose
-// packets wait for longer misses its bounds for changes of the configuration.
+// Large answers are refused beyond this wait. One answer of 90 kB more takes 75 ms on the slowest
+// links, so that packets wait for less than the half second from which a host counts as overloaded.
 constexpr std::chrono::milliseconds max_wait{400};
 
-// Answers that occupy the link for less are always taken.
+// Answers that take less than this on the link are never refused: 13 kB on the slowest links, more
+// than twice the usual page.
 constexpr std::chrono::milliseconds small_answer{10};
 
 double bytes_on_link(std::size_t body_bytes)
