sidecar: log and count suspects and blocks of the crash guard

Cause: on the sidecar no line named the fingerprint of a request and no metric counted suspects or blocks, so the log could not tell an upstream's end that was not recognised from a suspect that was forgotten or raised under another fingerprint. Change: gate_ended names the fingerprint; crash_report names the new state, the fingerprints and the node where the crash was seen, also for this node's own decisions; crash_guard_refused names the fingerprint at the caller's node; four series count suspects, blocks, refusals and known fingerprints.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -157,6 +157,9 @@
     }
     const guard_check known = owner_->guard.check(fingerprint(), started_);
     if (known.state == suspicion::blocked) {
+        owner_->counters.crash_refusals.add();
+        owner_->log.request("crash_guard_refused", context_.request_id,
+                            {{"fingerprint", fingerprint()}, {"rule", rule_->name}}, started_);
         refuse("crash_guard", known.retry_after);
         return false;
     }
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -60,6 +60,7 @@
 {
     if (entry.verdict == guard_verdict::refuse) {
         release(false, false);
+        owner_->counters.crash_refusals.add();
         respond(call_outcome::blocked, {}, "crash_guard", entry.retry_after);
         return;
     }
@@ -293,6 +294,7 @@
                             {{"outcome", name_of(outcome)},
                              {"reason", reason},
                              {"rule", metadata_.rule},
+                             {"fingerprint", fingerprint_},
                              {"instance", instance_},
                              {"running", load.running},
                              {"queued", load.queued},
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -4,6 +4,8 @@
 #include "sidecar_impl.h"
 #include "state_names.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -58,6 +60,9 @@
 // A crash is included in all reports for this time, since a datagram may be lost.
 constexpr milliseconds crash_report_retention = std::chrono::seconds(3);
 
+// A crash of a busy upstream makes many fingerprints suspect; a log line lists this many of them.
+constexpr std::size_t max_logged_fingerprints = 16;
+
 constexpr milliseconds expire_period = std::chrono::seconds(30);
 
 constexpr milliseconds shutdown_check_period{20};
@@ -107,13 +112,17 @@
       upstream_lost(data.counter_of("agatespread_upstream_lost_total")),
       upstream_crashes(data.counter_of("agatespread_own_upstream_crashes_total")),
       upstream_invalid_responses(data.counter_of("agatespread_upstream_spoiled_total")),
+      crash_suspects(data.counter_of("agatespread_crash_suspects_total")),
+      crash_blocks(data.counter_of("agatespread_crash_blocks_total")),
+      crash_refusals(data.counter_of("agatespread_crash_refusals_total")),
       reports_sent(data.counter_of("agatespread_reports_sent_total")),
       reports_received(data.counter_of("agatespread_reports_received_total")),
       reports_malformed(data.counter_of("agatespread_reports_malformed_total")),
       platform_errors(data.counter_of("agatespread_platform_errors_total")),
       version(data.gauge_of("agatespread_configuration_version")),
       peers_known(data.gauge_of("agatespread_peers_known")),
-      queued(data.gauge_of("agatespread_gate_queued"))
+      queued(data.gauge_of("agatespread_gate_queued")),
+      crash_fingerprints(data.gauge_of("agatespread_crash_fingerprints"))
 {
 }
 
@@ -419,9 +428,7 @@
     }
     for (const crash_report& crash : report->crashes) {
         if (guard.receive(crash, now)) {
-            log.change("crash_report", {{"from", report->entry.node},
-                                        {"fingerprint", crash.fingerprint},
-                                        {"blocked_for", crash.blocked_for}});
+            log_crash_report(crash, report->entry.node);
         }
     }
     if (report->in_force > (table ? table->version() : 0) && !fetch_in_flight) {
@@ -444,9 +451,31 @@
                            same_domain ? near_fetch_jitter : far_fetch_delay + near_fetch_jitter);
 }
 
+void sidecar::impl::log_crash_report(const crash_report& report, const node_id& from)
+{
+    const bool blocked = report.blocked_for.count() > 0;
+    const std::string_view state = report.cleared ? "cleared" : blocked ? "blocked" : "suspect";
+    std::vector<std::uint64_t> fingerprints = report.suspects;
+    if (report.cleared || blocked) {
+        fingerprints.push_back(report.fingerprint);
+    }
+    const std::size_t listed = std::min(fingerprints.size(), max_logged_fingerprints);
+    log.change("crash_report",
+               {{"from", from},
+                {"state", state},
+                {"fingerprints", fmt::format("{}", fmt::join(fingerprints.begin(),
+                                                             fingerprints.begin() + listed, ","))},
+                {"count", static_cast<std::uint64_t>(fingerprints.size())},
+                {"blocked_for", report.blocked_for}});
+    counters.crash_fingerprints.set(static_cast<std::int64_t>(guard.size()));
+}
+
 void sidecar::impl::publish_crashes(const std::vector<crash_report>& new_reports)
 {
     for (const crash_report& report : new_reports) {
+        counters.crash_suspects.add(report.suspects.size());
+        counters.crash_blocks.add(report.blocked_for.count() > 0 ? 1 : 0);
+        log_crash_report(report, settings.node);
         crashes.emplace_back(loop.now(), report);
     }
     if (!new_reports.empty()) {
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -48,6 +48,9 @@
     counter& upstream_lost;
     counter& upstream_crashes;
     counter& upstream_invalid_responses;
+    counter& crash_suspects; ///< Fingerprints that became suspect here.
+    counter& crash_blocks;   ///< Fingerprints that were blocked here.
+    counter& crash_refusals; ///< Requests refused because their fingerprint is blocked.
     counter& reports_sent;
     counter& reports_received;
     counter& reports_malformed;
@@ -55,6 +58,7 @@
     gauge& version;
     gauge& peers_known;
     gauge& queued;
+    gauge& crash_fingerprints; ///< Suspect and blocked.
 };
 
 } // namespace detail
@@ -83,6 +87,7 @@
     peer_report make_report() const;
     void receive_report(std::string_view bytes);
     void publish_crashes(const std::vector<crash_report>& reports);
+    void log_crash_report(const crash_report& report, const node_id& from);
     std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
     void fetch_from_peer();
     void handle_fetched_configuration(const http_result& result, const node_id& node);
