--- a/test/raw_upstream.h
+++ b/test/raw_upstream.h
@@ -20,8 +20,10 @@
     /// `connection` counts the accepted connections from 0.
     using connection_handler = std::function<void(asio::ip::tcp::socket& socket, int connection)>;
 
-    explicit raw_upstream(connection_handler handler)
-        : acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+    /// Listens on `port`, or on a free port if it is 0.
+    explicit raw_upstream(connection_handler handler, unsigned short port = 0)
+        : acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port)),
+          port_(acceptor_.local_endpoint().port()),
           thread_([this, handler = std::move(handler)] { serve(handler); })
     {
     }
@@ -32,15 +34,25 @@
         stopping_ = true;
         asio::error_code ignored;
         asio::ip::tcp::socket wake(context_);
-        wake.connect(acceptor_.local_endpoint(), ignored);
+        wake.connect({asio::ip::address_v4::loopback(), port_}, ignored);
         thread_.join();
     }
 
-    std::string address() const
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+    unsigned short port() const { return port_; }
+
+    /// Refuses further connections; must be called by the connection handler, which runs to its
+    /// end.
+    void stop_listening()
     {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+        stopping_ = true;
+        asio::error_code ignored;
+        acceptor_.close(ignored);
     }
 
+    bool listening() const { return !stopping_; }
+
     /// Reads a request head; returns false if the connection ends first.
     static bool read_request(asio::ip::tcp::socket& socket)
     {
@@ -71,6 +83,7 @@
 
     asio::io_context context_;
     asio::ip::tcp::acceptor acceptor_;
+    const unsigned short port_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
