crash guard: remember unanswered calls until the fate of their upstream is known

Callers saw a request that ends its upstreams accepted again and again, each time at the cost of the upstream and of all other requests on it. Cause: the gate took an end of its upstream for a crash only if a connection was lost and a new one refused at the moment of the loss. A time-out, a caller that had left, a cut response and a process that was back at once left the guard with nothing, as the call was forgotten at its end. Change: a call that ends without a response stays in flight for the guard (15 s, or 3 s once the upstream has responded again, as the first heartbeat of a new process may be late). The end of the upstream becomes known by a refused connection, by a probe after silence, or by the heartbeat of another incarnation that no exit announced. A crash with more than one suspect that may have run blocks none of them, but a fingerprint in flight at three crashes without a success is blocked in any case. A cut response is probed like a lost connection. The daemon's path passes time-outs, cancelled calls and refused connections to the same rules.

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -24,8 +24,18 @@
     /// How long after the end of a block the next one is twice as long; later blocks start at
     /// `initial_block` again.
     std::chrono::milliseconds block_count_retention = std::chrono::hours(4);
-    /// Connections lost within this time of a crash do not count as further crashes.
+    /// Connections lost within this time of a crash do not count as further crashes, and a
+    /// fingerprint in flight at several crashes within it counts one of them.
     std::chrono::milliseconds crash_window = std::chrono::seconds(1);
+    /// A fingerprint in flight at this number of crashes is blocked even if another call may have
+    /// caused each of them.
+    std::uint32_t max_crashes = 3;
+    /// How long after an unanswered call the end of a silent upstream is attributed to it.
+    std::chrono::milliseconds unanswered_retention = std::chrono::seconds(15);
+    /// The same for an upstream that has responded since: it may be a new process whose first
+    /// heartbeat is late.
+    std::chrono::milliseconds restart_notice = std::chrono::seconds(3);
+    std::size_t max_unanswered = 256;
     std::size_t max_fingerprints = 8192;
     std::size_t max_waiting = 32; ///< Suspects queued for the upstream; more are refused.
 };
@@ -56,6 +66,13 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// How a call that got a response, or was not run, ended.
+enum class call_end : std::uint8_t {
+    not_run,
+    succeeded, ///< A complete response; clears the fingerprint.
+    responded  ///< Another response, such as a malformed one.
+};
+
 /// The actions that follow an event: calls to send or to refuse, and reports for other nodes.
 struct guard_actions {
     std::vector<std::uint64_t> pass;
@@ -68,12 +85,15 @@
 ///
 /// All fingerprints in flight at a crash become suspects. Suspects run one at a time on an
 /// upstream, so that a crash identifies the one suspect in flight, whose fingerprint is blocked. A
-/// suspect that completes is cleared.
+/// suspect that succeeds is cleared.
+///
+/// An upstream does not always close its connections when it ends. A call without a response is
+/// therefore remembered after its end, and is in flight at a crash that becomes known later.
 ///
 ///     crash_guard guard({});
 ///     guard_decision entry = guard.enter(call, fingerprint, false, now);
 ///     entry = guard.try_start(call, now);
-///     guard_actions next = guard.leave(call, true, now);
+///     guard_actions next = guard.leave(call, call_end::succeeded, now);
 class crash_guard {
 public:
     explicit crash_guard(const crash_guard_options& options);
@@ -97,8 +117,11 @@
     /// caller returns the slot, and the call is released as after `enter`.
     guard_decision try_start(std::uint64_t call, time_point now);
 
-    /// Ends a call; `completed` is set if the upstream sent a complete response.
-    guard_actions leave(std::uint64_t call, bool completed, time_point now);
+    /// Ends a call that got a response or was not run.
+    guard_actions leave(std::uint64_t call, call_end end, time_point now);
+
+    /// Ends a call without a response; the upstream may run it until `runs_until`.
+    guard_actions leave_unanswered(std::uint64_t call, time_point runs_until, time_point now);
 
     /// Ends a call whose connection was lost because this node's upstream crashed.
     ///
@@ -106,6 +129,14 @@
     /// reason; they are not counted as further crashes.
     guard_actions crashed(std::uint64_t call, time_point now);
 
+    /// Attributes the end of this node's upstream, which refuses connections, to the unanswered
+    /// calls; the calls that run lose their connections and end by `crashed`.
+    guard_actions upstream_refused(time_point now);
+
+    /// Attributes the end of this node's upstream, which another process has replaced, to the
+    /// running and the unanswered calls, unless it was announced.
+    guard_actions upstream_replaced(bool announced, time_point now);
+
     /// Applies a report of another node; returns whether it changed the state and is to be
     /// forwarded.
     bool receive(const crash_report& report, time_point now);
@@ -120,8 +151,10 @@
     struct entry {
         suspicion state = suspicion::none;
         std::uint32_t blocks = 0;
-        time_point until;      ///< End of the suspicion or block.
-        time_point expires_at; ///< When the entry and its number of blocks expire.
+        std::uint32_t crashes = 0; ///< With a call in flight, since the last success.
+        time_point last_crash;     ///< The last one that `crashes` counts.
+        time_point until;          ///< End of the suspicion or block.
+        time_point expires_at;     ///< When the entry and its number of blocks expire.
     };
 
     struct shard {
@@ -136,18 +169,38 @@
         bool in_counted_crash = false; ///< Was running at a crash that is already counted.
     };
 
+    struct unanswered_call {
+        std::uint64_t fingerprint = 0;
+        bool held_suspect_slot = false;
+        bool upstream_responded = false; ///< After `runs_until`, to another call.
+        time_point runs_until;
+    };
+
+    /// A call that was running at a crash or may have been.
+    struct call_in_flight {
+        std::uint64_t fingerprint = 0;
+        bool held_suspect_slot = false;
+    };
+
     shard& shard_of(std::uint64_t fingerprint) const;
     static guard_check current_state(const entry& known, time_point now);
     entry& find_or_insert(shard& owning_shard, std::uint64_t fingerprint, time_point now);
     static void evict(shard& owning_shard, time_point now, std::atomic<std::size_t>& size);
-    bool make_suspect(std::uint64_t fingerprint, time_point now);
+    bool make_suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
+    std::uint32_t crashes_including_now(std::uint64_t fingerprint, time_point now) const;
     std::chrono::milliseconds block(std::uint64_t fingerprint, time_point now);
     bool clear(std::uint64_t fingerprint, time_point now);
     bool block_until(std::uint64_t fingerprint, std::uint32_t blocks,
                      std::chrono::milliseconds length, time_point now);
     guard_decision admit(std::uint64_t id, call& entered, time_point now);
     void release(guard_actions& actions, time_point now);
-    void attribute_crash(guard_actions& actions, time_point now);
+    call end_call(absl::flat_hash_map<std::uint64_t, call>::iterator position);
+    void record_response(time_point now);
+    std::vector<call_in_flight> take_running();
+    std::vector<call_in_flight> take_unanswered(time_point now);
+    void attribute_crash(const std::vector<call_in_flight>& in_flight, guard_actions& actions,
+                         time_point now);
+    crash_report block_and_report(std::uint64_t fingerprint, time_point now);
 
     const crash_guard_options options_;
     mutable std::array<shard, 16> shards_;
@@ -156,6 +209,7 @@
     std::mutex calls_mutex_; ///< Guards the members below; locked before a shard's mutex.
     absl::flat_hash_map<std::uint64_t, call> calls_;
     std::deque<std::uint64_t> waiting_;
+    std::deque<unanswered_call> unanswered_;
     bool suspect_running_ = false;
     time_point last_crash_;
 };
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -47,6 +47,12 @@
     upstream_state state() const { return state_; }
     bool heartbeat_received() const { return heartbeat_received_; }
 
+    /// Returns how many incarnations were replaced by a later one.
+    std::uint64_t replacements() const { return replacements_; }
+
+    /// Returns whether the incarnation that was replaced last had announced its exit.
+    bool exit_announced() const { return exit_announced_; }
+
 private:
     lifecycle_change transition_to(upstream_state next);
 
@@ -57,6 +63,8 @@
     upstream_state state_ = upstream_state::gone;
     bool heartbeat_received_ = false;
     bool left_service_ = false; ///< This incarnation is draining or deregistered.
+    std::uint64_t replacements_ = 0;
+    bool exit_announced_ = false;
 };
 
 } // namespace agatespread
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -2,6 +2,7 @@
 #include <agatespread/digest.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace agatespread {
@@ -95,14 +96,20 @@
     return owning_shard.entries[fingerprint];
 }
 
-bool crash_guard::make_suspect(std::uint64_t fingerprint, time_point now)
+bool crash_guard::make_suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now)
 {
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     entry& known = find_or_insert(owning_shard, fingerprint, now);
-    if (current_state(known, now).state != suspicion::none) {
+    const bool known_before = current_state(known, now).state != suspicion::none;
+    if (known_before && crashes <= known.crashes) {
         return false;
     }
+    known.crashes = crashes;
+    known.last_crash = now;
+    if (known_before) {
+        return true;
+    }
     if (known.expires_at <= now) {
         known.blocks = 0;
     }
@@ -114,7 +121,7 @@
 
 void crash_guard::suspect(std::uint64_t fingerprint, time_point now)
 {
-    make_suspect(fingerprint, now);
+    make_suspect(fingerprint, 1, now);
 }
 
 void crash_guard::confirm(std::uint64_t fingerprint, time_point now)
@@ -173,6 +180,7 @@
         return false;
     }
     found->second.state = suspicion::none;
+    found->second.crashes = 0;
     if (found->second.blocks == 0) {
         owning_shard.entries.erase(found);
         size_.fetch_sub(1, std::memory_order_relaxed);
@@ -184,7 +192,7 @@
                                   time_point now)
 {
     if (suspected) {
-        make_suspect(fingerprint, now);
+        make_suspect(fingerprint, 1, now);
     }
     const std::lock_guard<std::mutex> lock(calls_mutex_);
     call& entered = calls_[id];
@@ -252,7 +260,26 @@
     waiting_.swap(still_waiting);
 }
 
-guard_actions crash_guard::leave(std::uint64_t id, bool completed, time_point now)
+crash_guard::call crash_guard::end_call(absl::flat_hash_map<std::uint64_t, call>::iterator position)
+{
+    const std::uint64_t id = position->first;
+    const call ended = position->second;
+    calls_.erase(position);
+    waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), id), waiting_.end());
+    if (ended.holds_suspect_slot) {
+        suspect_running_ = false;
+    }
+    return ended;
+}
+
+void crash_guard::record_response(time_point now)
+{
+    for (unanswered_call& each : unanswered_) {
+        each.upstream_responded = each.upstream_responded || each.runs_until <= now;
+    }
+}
+
+guard_actions crash_guard::leave(std::uint64_t id, call_end end, time_point now)
 {
     guard_actions actions;
     const std::lock_guard<std::mutex> lock(calls_mutex_);
@@ -260,13 +287,11 @@
     if (found == calls_.end()) {
         return actions;
     }
-    const call ended = found->second;
-    calls_.erase(found);
-    waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), id), waiting_.end());
-    if (ended.holds_suspect_slot) {
-        suspect_running_ = false;
+    const call ended = end_call(found);
+    if (end != call_end::not_run) {
+        record_response(now);
     }
-    if (completed && size() > 0 && clear(ended.fingerprint, now)) {
+    if (end == call_end::succeeded && size() > 0 && clear(ended.fingerprint, now)) {
         crash_report report;
         report.fingerprint = ended.fingerprint;
         report.cleared = true;
@@ -276,30 +301,100 @@
     return actions;
 }
 
-void crash_guard::attribute_crash(guard_actions& actions, time_point now)
+guard_actions crash_guard::leave_unanswered(std::uint64_t id, time_point runs_until, time_point now)
 {
-    crash_report suspects;
-    suspects.crashes = 1;
+    guard_actions actions;
+    const std::lock_guard<std::mutex> lock(calls_mutex_);
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return actions;
+    }
+    const call ended = end_call(found);
+    if (ended.running && !ended.in_counted_crash) {
+        if (unanswered_.size() >= options_.max_unanswered) {
+            unanswered_.pop_front();
+        }
+        unanswered_.push_back({ended.fingerprint, ended.holds_suspect_slot, false, runs_until});
+    }
+    release(actions, now);
+    return actions;
+}
+
+std::vector<crash_guard::call_in_flight> crash_guard::take_running()
+{
+    std::vector<call_in_flight> result;
     for (std::pair<const std::uint64_t, call>& each : calls_) {
-        call& running_call = each.second;
-        if (!running_call.running || running_call.in_counted_crash) {
+        call& candidate = each.second;
+        if (candidate.running && !candidate.in_counted_crash) {
+            candidate.in_counted_crash = true;
+            result.push_back({candidate.fingerprint, candidate.holds_suspect_slot});
+        }
+    }
+    return result;
+}
+
+std::vector<crash_guard::call_in_flight> crash_guard::take_unanswered(time_point now)
+{
+    std::vector<call_in_flight> result;
+    for (const unanswered_call& each : unanswered_) {
+        const milliseconds retention =
+            each.upstream_responded ? options_.restart_notice : options_.unanswered_retention;
+        if (now - each.runs_until <= retention) {
+            // A suspect that the upstream outlived is not the one that identifies the crash.
+            result.push_back(
+                {each.fingerprint, each.held_suspect_slot && !each.upstream_responded});
+        }
+    }
+    unanswered_.clear();
+    return result;
+}
+
+std::uint32_t crash_guard::crashes_including_now(std::uint64_t fingerprint, time_point now) const
+{
+    shard& owning_shard = shard_of(fingerprint);
+    const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+    const auto found = owning_shard.entries.find(fingerprint);
+    if (found == owning_shard.entries.end() ||
+        current_state(found->second, now).state == suspicion::none) {
+        return 1;
+    }
+    const bool same_crash = now - found->second.last_crash <= options_.crash_window;
+    return found->second.crashes + (same_crash ? 0 : 1);
+}
+
+crash_report crash_guard::block_and_report(std::uint64_t fingerprint, time_point now)
+{
+    crash_report report;
+    report.fingerprint = fingerprint;
+    report.crashes = 2;
+    report.blocked_for = block(fingerprint, now);
+    return report;
+}
+
+void crash_guard::attribute_crash(const std::vector<call_in_flight>& in_flight,
+                                  guard_actions& actions, time_point now)
+{
+    const auto is_sole_suspect = [this, now](const call_in_flight& each) {
+        return each.held_suspect_slot && check(each.fingerprint, now).state == suspicion::suspect;
+    };
+    const bool identified = std::count_if(in_flight.begin(), in_flight.end(), is_sole_suspect) == 1;
+    std::map<std::uint32_t, crash_report> suspects_by_crashes;
+    for (const call_in_flight& each : in_flight) {
+        if (check(each.fingerprint, now).state == suspicion::blocked) {
             continue;
         }
-        running_call.in_counted_crash = true;
-        if (running_call.holds_suspect_slot &&
-            check(running_call.fingerprint, now).state == suspicion::suspect) {
-            crash_report blocked;
-            blocked.fingerprint = running_call.fingerprint;
-            blocked.crashes = 2;
-            blocked.blocked_for = block(running_call.fingerprint, now);
-            actions.reports.push_back(std::move(blocked));
+        const std::uint32_t crashes = crashes_including_now(each.fingerprint, now);
+        if ((identified && is_sole_suspect(each)) || crashes >= options_.max_crashes) {
+            actions.reports.push_back(block_and_report(each.fingerprint, now));
         }
-        else if (make_suspect(running_call.fingerprint, now)) {
-            suspects.suspects.push_back(running_call.fingerprint);
+        else if (make_suspect(each.fingerprint, crashes, now)) {
+            crash_report& report = suspects_by_crashes[crashes];
+            report.crashes = crashes;
+            report.suspects.push_back(each.fingerprint);
         }
     }
-    if (!suspects.suspects.empty()) {
-        actions.reports.push_back(std::move(suspects));
+    for (std::pair<const std::uint32_t, crash_report>& each : suspects_by_crashes) {
+        actions.reports.push_back(std::move(each.second));
     }
 }
 
@@ -317,12 +412,42 @@
         found->second.in_counted_crash = false;
         last_crash_ = now;
         actions.crash_counted = true;
-        attribute_crash(actions, now);
+        std::vector<call_in_flight> in_flight = take_running();
+        const std::vector<call_in_flight> unanswered = take_unanswered(now);
+        in_flight.insert(in_flight.end(), unanswered.begin(), unanswered.end());
+        attribute_crash(in_flight, actions, now);
     }
-    if (found->second.holds_suspect_slot) {
-        suspect_running_ = false;
+    end_call(found);
+    release(actions, now);
+    return actions;
+}
+
+guard_actions crash_guard::upstream_refused(time_point now)
+{
+    guard_actions actions;
+    const std::lock_guard<std::mutex> lock(calls_mutex_);
+    attribute_crash(take_unanswered(now), actions, now);
+    actions.crash_counted = !actions.reports.empty();
+    release(actions, now);
+    return actions;
+}
+
+guard_actions crash_guard::upstream_replaced(bool announced, time_point now)
+{
+    guard_actions actions;
+    const std::lock_guard<std::mutex> lock(calls_mutex_);
+    if (announced) {
+        unanswered_.clear();
+        return actions;
+    }
+    std::vector<call_in_flight> in_flight = take_running();
+    const std::vector<call_in_flight> unanswered = take_unanswered(now);
+    in_flight.insert(in_flight.end(), unanswered.begin(), unanswered.end());
+    attribute_crash(in_flight, actions, now);
+    if (!actions.reports.empty()) {
+        last_crash_ = now;
+        actions.crash_counted = true;
     }
-    calls_.erase(found);
     release(actions, now);
     return actions;
 }
@@ -343,7 +468,7 @@
         changed = block_until(report.fingerprint, blocks, length, now);
     }
     for (const std::uint64_t fingerprint : report.suspects) {
-        changed = make_suspect(fingerprint, now) || changed;
+        changed = make_suspect(fingerprint, std::max(report.crashes, 1U), now) || changed;
     }
     return changed;
 }
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -59,7 +59,7 @@
 void gate_request::hold(const guard_decision& entry)
 {
     if (entry.verdict == guard_verdict::refuse) {
-        release(false, false);
+        leave_guard(call_end::not_run);
         owner_->counters.crash_refusals.add();
         respond(call_outcome::blocked, {}, "crash_guard", entry.retry_after);
         return;
@@ -76,7 +76,7 @@
     const std::uint32_t kind = kind_of(metadata_.rule);
     if (!owner_->link.accepts(kind, now)) {
         const milliseconds wait = duration_cast<milliseconds>(owner_->link.delay(now));
-        release(false, false);
+        leave_guard(call_end::not_run);
         respond(call_outcome::not_run, {}, "link_full", wait);
         return;
     }
@@ -102,7 +102,7 @@
     }
     const milliseconds remaining =
         owner_->guard.check(fingerprint_, owner_->loop.now()).retry_after;
-    release(false, false);
+    leave_guard(call_end::not_run);
     respond(call_outcome::blocked, {}, "crash_guard", std::max(remaining, unavailable_retry_after));
 }
 
@@ -111,7 +111,7 @@
     if (stage_ != stage::queued) {
         return;
     }
-    release(false, false);
+    leave_guard(call_end::not_run);
     call_outcome outcome = call_outcome::not_run;
     if (refusal.reason == refusal_reason::draining) {
         outcome = call_outcome::draining;
@@ -125,7 +125,7 @@
 void gate_request::expire(time_point now)
 {
     if (stage_ == stage::held && now >= deadline_ - refusal_margin) {
-        release(false, false);
+        leave_guard(call_end::not_run);
         respond(call_outcome::not_run, {}, "expired", unavailable_retry_after);
     }
 }
@@ -137,7 +137,7 @@
     }
     const std::shared_ptr<gate_request> self = shared_from_this();
     const bool queued = stage_ == stage::queued;
-    release(false, false);
+    leave_guard(call_end::not_run);
     respond(call_outcome::draining, {}, "stopping", unavailable_retry_after);
     if (queued) {
         owner_->apply(owner_->gate.cancel(id_, owner_->loop.now()));
@@ -196,7 +196,8 @@
     }
     if (result.outcome == http_outcome::not_sent && !result.sent) {
         owner_->mark_upstream_unreachable("connect_failed");
-        release(false, false);
+        leave_guard(call_end::not_run);
+        owner_->apply(owner_->guard.upstream_refused(owner_->loop.now()), "connect_failed");
         owner_->apply(owner_->gate.finish(id_, false, owner_->loop.now()));
         respond(call_outcome::unavailable, {}, "upstream_unreachable", unavailable_retry_after);
         return;
@@ -214,7 +215,13 @@
     const bool invalid = !refused && ((succeeded && !metadata.authentic) || metadata.encoded ||
                                       (succeeded && metadata.request_id != request_id_));
     owner_->failures.add(refused || invalid || result.response.status >= 500, now);
-    release(!refused && !invalid, false);
+    owner_->upstream_responded_at = now;
+    if (refused) {
+        leave_guard(call_end::not_run);
+    }
+    else {
+        leave_guard(invalid ? call_end::responded : call_end::succeeded);
+    }
     owner_->apply(owner_->gate.finish(id_, succeeded && !invalid, now));
     if (metadata.other_instance) {
         owner_->mark_upstream_unreachable("other_instance");
@@ -235,49 +242,76 @@
 void gate_request::on_upstream_lost(const http_result& result)
 {
     owner_->failures.add(true, owner_->loop.now());
-    if (result.outcome == http_outcome::timed_out) {
-        release(false, false);
-        owner_->apply(owner_->gate.finish(id_, false, owner_->loop.now()));
+    switch (result.outcome) {
+    case http_outcome::timed_out:
         respond(call_outcome::timed_out, {}, "upstream_timeout", milliseconds(0));
+        leave_unanswered(true);
         return;
-    }
-    owner_->counters.upstream_lost.add();
-    if (result.outcome != http_outcome::connection_lost) {
-        finish_lost_request(false, result.error);
+    case http_outcome::connection_lost:
+    case http_outcome::truncated:
+        owner_->counters.upstream_lost.add();
+        // A new connection shows whether the upstream crashed or only closed this connection.
+        probe_connection(owner_->loop, owner_->settings.upstream_address, upstream_connect_timeout,
+                         [self = shared_from_this(), error = result.error](bool connected) {
+                             if (self->stage_ == stage::running) {
+                                 self->finish_lost_request(!connected, error);
+                             }
+                         });
+        return;
+    default:
+        owner_->counters.upstream_lost.add();
+        leave_guard(call_end::responded);
+        owner_->apply(owner_->gate.finish(id_, false, owner_->loop.now()));
+        respond(call_outcome::failed, {}, result.error, milliseconds(0));
         return;
     }
-    // A new connection shows whether the upstream crashed or only closed this connection.
-    probe_connection(owner_->loop, owner_->settings.upstream_address, upstream_connect_timeout,
-                     [self = shared_from_this(), error = result.error](bool connected) {
-                         if (self->stage_ == stage::running) {
-                             self->finish_lost_request(!connected, error);
-                         }
-                     });
 }
 
 void gate_request::finish_lost_request(bool crashed, const std::string& error)
 {
+    const time_point now = owner_->loop.now();
     if (crashed) {
         owner_->mark_upstream_unreachable("crashed");
+        owner_->apply(owner_->guard.crashed(id_, now), "connection_lost");
+    }
+    else {
+        owner_->apply(owner_->guard.leave_unanswered(id_, now, now), "connection_lost");
     }
-    release(false, crashed);
-    owner_->apply(owner_->gate.finish(id_, false, owner_->loop.now()));
+    owner_->apply(owner_->gate.finish(id_, false, now));
     respond(crashed ? call_outcome::crashed : call_outcome::failed, {},
             crashed ? "upstream_crashed" : error, milliseconds(0));
 }
 
-void gate_request::release(bool completed, bool crashed)
+void gate_request::leave_unanswered(bool reached_deadline)
 {
-    const time_point now = owner_->loop.now();
-    const guard_actions next =
-        crashed ? owner_->guard.crashed(id_, now) : owner_->guard.leave(id_, completed, now);
-    if (next.crash_counted) {
-        owner_->counters.upstream_crashes.add();
-        owner_->log.change("upstream_crashed",
-                           {{"instance", instance_},
-                            {"reports", static_cast<std::uint64_t>(next.reports.size())}});
-    }
-    owner_->apply(next);
+    const auto leave = [self = shared_from_this(), reached_deadline](bool connected) {
+        sidecar::impl& owner = *self->owner_;
+        const time_point now = owner.loop.now();
+        --owner.unanswered_in_slots;
+        if (connected) {
+            owner.apply(owner.guard.leave_unanswered(self->id_, self->deadline_, now), "silent");
+        }
+        else {
+            owner.mark_upstream_unreachable("silent");
+            owner.apply(owner.guard.crashed(self->id_, now), "silent");
+        }
+        owner.apply(reached_deadline ? owner.gate.finish(self->id_, false, now)
+                                     : owner.gate.cancel(self->id_, now));
+    };
+    ++owner_->unanswered_in_slots;
+    if (owner_->upstream_responded_at >= forwarded_) {
+        leave(true);
+        return;
+    }
+    // The upstream has sent nothing since the request. The slot stays taken until the connection
+    // shows whether it still runs.
+    probe_connection(owner_->loop, owner_->settings.upstream_address, upstream_connect_timeout,
+                     leave);
+}
+
+void gate_request::leave_guard(call_end end)
+{
+    owner_->apply(owner_->guard.leave(id_, end, owner_->loop.now()), "response");
 }
 
 void gate_request::respond(call_outcome outcome, http_response response, std::string reason,
@@ -324,13 +358,17 @@
         owner_->client.cancel(upstream_call_);
     }
     const std::shared_ptr<gate_request> self = shared_from_this();
-    release(false, false);
     handler_ = nullptr;
     owner_->gate_requests.erase(id_);
-    if (before != stage::held) {
+    if (before == stage::running) {
+        leave_unanswered(false);
+        return true;
+    }
+    leave_guard(call_end::not_run);
+    if (before == stage::queued) {
         owner_->apply(owner_->gate.cancel(id_, owner_->loop.now()));
     }
-    return before == stage::running;
+    return false;
 }
 
 } // namespace agatespread::detail
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -54,7 +54,11 @@
     void on_upstream_response(http_result result);
     void on_upstream_lost(const http_result& result);
     void finish_lost_request(bool crashed, const std::string& error);
-    void release(bool completed, bool crashed);
+
+    /// Ends a call whose caller waits no longer; a silent upstream is probed first.
+    void leave_unanswered(bool reached_deadline);
+
+    void leave_guard(call_end end);
     void respond(call_outcome outcome, http_response response, std::string reason,
                  std::chrono::milliseconds retry_after);
 
--- a/src/inbound_call.cpp
+++ b/src/inbound_call.cpp
@@ -185,7 +185,20 @@
     const bool not_sent = result.outcome == http_outcome::not_sent && !result.sent;
     const bool crash = !complete && !not_sent && is_crash(result);
     series_.service_time.record(now - forwarded_at_);
-    leave_guard(complete, crash);
+    if (crash) {
+        apply_guard(owner_->guard.crashed(id_, now));
+    }
+    else if (complete) {
+        leave_guard(call_end::succeeded);
+    }
+    else if (not_sent) {
+        leave_guard(call_end::not_run);
+        apply_guard(owner_->guard.upstream_refused(now));
+    }
+    else {
+        apply_guard(owner_->guard.leave_unanswered(
+            id_, result.outcome == http_outcome::timed_out ? deadline_ : now, now));
+    }
     owner_->apply(owner_->gate.finish(id_, complete, now), nullptr);
     if (complete) {
         strip_headers(result.response.headers);
@@ -208,11 +221,13 @@
     }
 }
 
-void inbound_call::leave_guard(bool completed, bool crashed)
+void inbound_call::leave_guard(call_end end)
+{
+    apply_guard(owner_->guard.leave(id_, end, worker_.now()));
+}
+
+void inbound_call::apply_guard(const guard_actions& actions)
 {
-    const time_point now = worker_.now();
-    const guard_actions actions =
-        crashed ? owner_->guard.crashed(id_, now) : owner_->guard.leave(id_, completed, now);
     owner_->counters.crashes.add(actions.crash_counted ? 1 : 0);
     owner_->apply(actions, nullptr);
 }
@@ -222,7 +237,7 @@
     if (stage_ == stage::done) {
         return;
     }
-    leave_guard(false, false);
+    leave_guard(call_end::not_run);
     respond(outcome, proxy_error_response(503, text, true, retry_after));
 }
 
@@ -260,9 +275,14 @@
     if (std::exchange(waiting_for_guard_, false)) {
         owner_->waiting.fetch_sub(1);
     }
-    leave_guard(false, false);
-    if (running && upstream_call_) {
-        worker_.cancel(*upstream_call_);
+    if (running) {
+        apply_guard(owner_->guard.leave_unanswered(id_, deadline_, worker_.now()));
+        if (upstream_call_) {
+            worker_.cancel(*upstream_call_);
+        }
+    }
+    else {
+        leave_guard(call_end::not_run);
     }
     if (admitted) {
         owner_->apply(owner_->gate.cancel(id_, worker_.now()), nullptr);
--- a/src/inbound_call.h
+++ b/src/inbound_call.h
@@ -44,7 +44,8 @@
     void on_upstream_result(http_result result);
     void refuse(call_outcome outcome, std::string_view text, std::chrono::milliseconds retry_after);
     void respond(call_outcome outcome, http_response response);
-    void leave_guard(bool completed, bool crashed);
+    void leave_guard(call_end end);
+    void apply_guard(const guard_actions& actions);
     void cancel();
     bool is_crash(const http_result& result) const;
 
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -613,8 +613,15 @@
     }
 }
 
-void sidecar::impl::apply(const guard_actions& actions)
+void sidecar::impl::apply(const guard_actions& actions, std::string_view cause)
 {
+    if (actions.crash_counted) {
+        counters.upstream_crashes.add();
+        log.change("upstream_crashed",
+                   {{"instance", upstream.instance()},
+                    {"cause", cause},
+                    {"reports", static_cast<std::uint64_t>(actions.reports.size())}});
+    }
     publish_crashes(actions.reports);
     for (const std::uint64_t id : actions.refuse) {
         const auto found = gate_requests.find(id);
@@ -636,7 +643,7 @@
 {
     const admission_load load = gate.load(loop.now());
     counters.queued.set(load.queued);
-    if (gate_check_scheduled || gate_requests.size() <= load.running) {
+    if (gate_check_scheduled || gate_requests.size() + unanswered_in_slots <= load.running) {
         return;
     }
     gate_check_scheduled = true;
@@ -791,7 +798,13 @@
 void sidecar::receive_heartbeat(const upstream_heartbeat& heartbeat)
 {
     const std::uint32_t slots_before = impl_->upstream.slots();
+    const std::uint64_t replacements_before = impl_->upstream.replacements();
     const lifecycle_change change = impl_->upstream.receive(heartbeat);
+    if (impl_->upstream.replacements() != replacements_before) {
+        impl_->apply(
+            impl_->guard.upstream_replaced(impl_->upstream.exit_announced(), impl_->loop.now()),
+            "replaced");
+    }
     impl_->apply(change, "heartbeat");
     if (change == lifecycle_change::none && impl_->upstream.slots() != slots_before) {
         impl_->update_gate(impl_->upstream.state());
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -98,7 +98,7 @@
     void update_gate(upstream_state state);
     upstream_state gate_state() const;
     void apply(const admission_actions& actions);
-    void apply(const guard_actions& actions);
+    void apply(const guard_actions& actions, std::string_view cause);
     void schedule_gate_check();
     void mark_upstream_unreachable(std::string_view cause);
 
@@ -134,7 +134,8 @@
     admission gate;
     link_backlog link;
     upstream_lifecycle upstream;
-    failure_rate failures; ///< Failure rate of the upstream on this host.
+    failure_rate failures;            ///< Failure rate of the upstream on this host.
+    time_point upstream_responded_at; ///< The last response of the upstream on this host.
 
     http_client client; ///< Connects to other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
@@ -162,6 +163,7 @@
     std::deque<std::pair<time_point, crash_report>> crashes; ///< Recent, repeated in each report.
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<detail::gate_request>> gate_requests;
     std::uint64_t last_gate_id = 0;
+    std::size_t unanswered_in_slots = 0; ///< Ended requests that still hold a slot of the gate.
     bool gate_check_scheduled = false;
     absl::flat_hash_set<detail::caller_request*> caller_requests; ///< Requests without a response.
     bool stopping = false;
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -23,6 +23,10 @@
     if (earlier_incarnation || (same_incarnation && heartbeat.sequence <= sequence_)) {
         return lifecycle_change::none;
     }
+    if (heartbeat_received_ && !same_incarnation) {
+        ++replacements_;
+        exit_announced_ = left_service_;
+    }
     if (!same_incarnation) {
         left_service_ = false;
     }
--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -27,6 +27,24 @@
     return guard.crashed(call, now);
 }
 
+/// Starts a call that ends without a response.
+void run_unanswered(crash_guard& guard, std::uint64_t call, std::uint64_t fingerprint,
+                    time_point now)
+{
+    EXPECT_EQ(guard.enter(call, fingerprint, false, now).verdict, guard_verdict::pass);
+    EXPECT_EQ(guard.try_start(call, now).verdict, guard_verdict::pass);
+    guard.leave_unanswered(call, now, now);
+}
+
+/// Runs a call that gets a response.
+void run_answered(crash_guard& guard, std::uint64_t call, std::uint64_t fingerprint, call_end end,
+                  time_point now)
+{
+    EXPECT_EQ(guard.enter(call, fingerprint, false, now).verdict, guard_verdict::pass);
+    EXPECT_EQ(guard.try_start(call, now).verdict, guard_verdict::pass);
+    guard.leave(call, end, now);
+}
+
 int total_crashes(const fake_mesh& mesh, const std::string& domain)
 {
     int total = 0;
@@ -80,7 +98,7 @@
     EXPECT_EQ(guard.enter(1, 7, false, start).verdict, guard_verdict::pass);
     EXPECT_EQ(guard.enter(2, 8, false, start).verdict, guard_verdict::wait);
     EXPECT_EQ(guard.enter(3, 9, false, start).verdict, guard_verdict::pass);
-    const guard_actions next = guard.leave(1, true, start);
+    const guard_actions next = guard.leave(1, call_end::succeeded, start);
     EXPECT_EQ(next.pass, std::vector<std::uint64_t>({2}));
     ASSERT_EQ(next.reports.size(), 1U);
     EXPECT_TRUE(next.reports[0].cleared);
@@ -103,6 +121,77 @@
     EXPECT_EQ(guard.check(7, start + seconds(3)).state, suspicion::blocked);
 }
 
+// Guards against an upstream that ends silently, so that no call loses its connection.
+TEST(crash_guard, unanswered_calls_are_in_flight_at_a_crash_that_becomes_known_later)
+{
+    crash_guard guard({});
+    run_unanswered(guard, 1, 7, start);
+    EXPECT_EQ(guard.check(7, start).state, suspicion::none);
+    EXPECT_TRUE(guard.upstream_replaced(false, start + seconds(5)).crash_counted);
+    EXPECT_EQ(guard.check(7, start + seconds(5)).state, suspicion::suspect);
+    run_unanswered(guard, 2, 7, start + seconds(10));
+    EXPECT_TRUE(guard.upstream_refused(start + seconds(15)).crash_counted);
+    EXPECT_EQ(guard.check(7, start + seconds(15)).state, suspicion::blocked);
+}
+
+// Guards against suspects that the upstream outlived, or that ran on one that exited in order.
+TEST(crash_guard, unanswered_calls_do_not_become_suspects_without_a_crash)
+{
+    crash_guard guard({});
+    run_unanswered(guard, 1, 7, start);
+    EXPECT_FALSE(guard.upstream_replaced(true, start + seconds(1)).crash_counted);
+    run_unanswered(guard, 2, 8, start + seconds(2));
+    run_answered(guard, 3, 9, call_end::succeeded, start + seconds(3));
+    EXPECT_FALSE(guard.upstream_replaced(false, start + seconds(6)).crash_counted);
+    run_unanswered(guard, 4, 10, start + seconds(7));
+    EXPECT_FALSE(guard.upstream_replaced(false, start + seconds(23)).crash_counted);
+    EXPECT_EQ(guard.size(), 0U);
+}
+
+// Guards against a new process that responds before its first heartbeat, which must not hide that
+// the old process ended.
+TEST(crash_guard, response_of_a_restarted_upstream_does_not_hide_the_crash)
+{
+    crash_guard guard({});
+    run_unanswered(guard, 1, 7, start);
+    run_answered(guard, 2, 9, call_end::succeeded, start + milliseconds(1500));
+    EXPECT_TRUE(guard.upstream_replaced(false, start + seconds(2)).crash_counted);
+    EXPECT_EQ(guard.check(7, start + seconds(2)).state, suspicion::suspect);
+}
+
+// Guards against a block of a suspect that another unanswered suspect may have been.
+TEST(crash_guard, crash_with_two_unanswered_suspects_blocks_neither)
+{
+    crash_guard guard({});
+    guard.suspect(7, start);
+    guard.suspect(8, start);
+    const time_point crash = start + seconds(5);
+    run_unanswered(guard, 1, 7, crash);
+    run_unanswered(guard, 2, 8, crash);
+    guard.upstream_replaced(false, crash);
+    EXPECT_EQ(guard.check(7, crash).state, suspicion::suspect);
+    EXPECT_EQ(guard.check(8, crash).state, suspicion::suspect);
+}
+
+// Guards against a request that always crashes its upstream beside another suspect.
+TEST(crash_guard, fingerprint_in_flight_at_three_crashes_without_a_success_is_blocked)
+{
+    crash_guard guard({});
+    time_point now = start;
+    guard.suspect(7, now); // The first crash.
+    for (int crash = 2; crash <= 3; ++crash) {
+        EXPECT_NE(guard.check(7, now).state, suspicion::blocked);
+        now += seconds(5);
+        guard.suspect(8, now);
+        run_unanswered(guard, 1, 7, now);
+        run_unanswered(guard, 2, 8, now);
+        guard.upstream_replaced(false, now);
+        run_answered(guard, 3, 8, call_end::succeeded, now);
+    }
+    EXPECT_EQ(guard.check(7, now).state, suspicion::blocked);
+    EXPECT_EQ(guard.check(8, now).state, suspicion::none);
+}
+
 TEST(crash_guard, frequent_request_in_flight_at_many_crashes_is_not_blocked)
 {
     // Guards against blocking a frequent request when a third of the upstreams is killed at once.
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -75,6 +75,23 @@
     EXPECT_EQ(upstream.state(), upstream_state::ready);
 }
 
+// Guards against the end of an upstream process that goes unnoticed because it was restarted at
+// once, and against an exit in order that counts as a crash.
+TEST(upstream_lifecycle, replaced_incarnations_are_counted)
+{
+    upstream_lifecycle upstream;
+    upstream.receive(heartbeat("a", 10, 1));
+    upstream.receive(heartbeat("a", 10, 2));
+    EXPECT_EQ(upstream.replacements(), 0U);
+    upstream.receive(heartbeat("a", 20, 1));
+    EXPECT_EQ(upstream.replacements(), 1U);
+    EXPECT_FALSE(upstream.exit_announced());
+    upstream.receive(heartbeat("a", 20, 2, true));
+    upstream.receive(heartbeat("b", 30, 1));
+    EXPECT_EQ(upstream.replacements(), 2U);
+    EXPECT_TRUE(upstream.exit_announced());
+}
+
 TEST(upstream_lifecycle, unreachable_upstream_is_opened_by_its_next_heartbeat)
 {
     upstream_lifecycle upstream;
