crash guard: only a response without a server error clears a suspect

Callers saw a request that had ended an upstream accepted as harmless after another upstream had failed it. Cause: any complete response cleared the fingerprint on all nodes, a 500 or 504 among them. An upstream that fails requests before it runs them so reset the count, and each two crashes around it went uncounted. Change: a complete response with a status of 500 or more neither clears nor incriminates, on the sidecar's and on the daemon's path.

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -69,8 +69,8 @@
 /// How a call that got a response, or was not run, ended.
 enum class call_end : std::uint8_t {
     not_run,
-    succeeded, ///< A complete response; clears the fingerprint.
-    responded  ///< Another response, such as a malformed one.
+    succeeded, ///< A complete response without a server error; clears the fingerprint.
+    responded  ///< Another response: an upstream may send a server error without running the call.
 };
 
 /// The actions that follow an event: calls to send or to refuse, and reports for other nodes.
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -220,7 +220,8 @@
         leave_guard(call_end::not_run);
     }
     else {
-        leave_guard(invalid ? call_end::responded : call_end::succeeded);
+        const bool success = !invalid && result.response.status < 500;
+        leave_guard(success ? call_end::succeeded : call_end::responded);
     }
     owner_->apply(owner_->gate.finish(id_, succeeded && !invalid, now));
     if (metadata.other_instance) {
--- a/src/inbound_call.cpp
+++ b/src/inbound_call.cpp
@@ -189,7 +189,8 @@
         apply_guard(owner_->guard.crashed(id_, now));
     }
     else if (complete) {
-        leave_guard(call_end::succeeded);
+        const bool server_error = result.response.status >= 500;
+        leave_guard(server_error ? call_end::responded : call_end::succeeded);
     }
     else if (not_sent) {
         leave_guard(call_end::not_run);
--- a/src/outbound_call.cpp
+++ b/src/outbound_call.cpp
@@ -325,7 +325,7 @@
     case call_outcome::answered:
         may_have_run_ = true;
         strip_headers(response.headers);
-        if (suspect_) {
+        if (suspect_ && response.status < 500) {
             clear_suspicion();
         }
         if (overloaded) {
--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -121,6 +121,19 @@
     EXPECT_EQ(guard.check(7, start + seconds(3)).state, suspicion::blocked);
 }
 
+// Guards against an upstream that fails every request without running it, which says nothing of
+// the request.
+TEST(crash_guard, only_a_success_clears_a_suspect)
+{
+    crash_guard guard({});
+    guard.suspect(7, start);
+    run_answered(guard, 1, 7, call_end::responded, start);
+    run_answered(guard, 2, 7, call_end::not_run, start);
+    EXPECT_EQ(guard.check(7, start).state, suspicion::suspect);
+    run_answered(guard, 3, 7, call_end::succeeded, start);
+    EXPECT_EQ(guard.check(7, start).state, suspicion::none);
+}
+
 // Guards against an upstream that ends silently, so that no call loses its connection.
 TEST(crash_guard, unanswered_calls_are_in_flight_at_a_crash_that_becomes_known_later)
 {
