sidecar: fingerprint of a request without the services of its caller and route

Callers saw a request that had ended two upstreams accepted again after its route changed, or when it came in at a host of another service. Cause: the fingerprint held the service of the caller's host and the one that the route had selected, so that the same request started a new count at each pair of services, with up to two more ended upstreams each. Change: the fingerprint is the hash of the canonical host, method, target and body; one function serves the caller's node and the gate. The daemon keeps the service as scope, because its callers name services instead of hosts.

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -41,7 +41,9 @@
 };
 
 /// Returns a hash that identifies equal requests and is the same on every node.
-std::uint64_t request_fingerprint(std::string_view service, std::string_view method,
+///
+/// `scope` is what the path belongs to: a host, or a service that has paths of its own.
+std::uint64_t request_fingerprint(std::string_view scope, std::string_view method,
                                   std::string_view path, std::string_view body);
 
 /// The state of a fingerprint.
--- a/include/agatespread/routing.h
+++ b/include/agatespread/routing.h
@@ -41,6 +41,9 @@
     std::chrono::milliseconds idle_timeout = std::chrono::seconds(60);
 };
 
+/// Returns the host of a `Host` header in lower case and without its port.
+std::string canonical_host(std::string_view host_header);
+
 /// The rules of all hosts in one configuration version; not modified once the version is applied.
 ///
 ///     routing_table table(12, {});
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -2,8 +2,6 @@
 
 #include "gate_request.h"
 
-#include <agatespread/digest.h>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -85,13 +83,6 @@
     return duration_cast<milliseconds>((on_time ? objective_time_ : deadline_) - now);
 }
 
-std::uint64_t caller_request::fingerprint() const
-{
-    const http_request& request = exchange_->request();
-    return hash64(owner_->settings.service,
-                  request_fingerprint(service_, request.method, request.target, request.body));
-}
-
 void caller_request::start()
 {
     context_ = owner_->dialect.read_request(exchange_->request());
@@ -155,11 +146,12 @@
     if (owner_->guard.size() == 0) {
         return true;
     }
-    const guard_check known = owner_->guard.check(fingerprint(), started_);
+    const std::uint64_t fingerprint = fingerprint_of(exchange_->request());
+    const guard_check known = owner_->guard.check(fingerprint, started_);
     if (known.state == suspicion::blocked) {
         owner_->counters.crash_refusals.add();
         owner_->log.request("crash_guard_refused", context_.request_id,
-                            {{"fingerprint", fingerprint()}, {"rule", rule_->name}}, started_);
+                            {{"fingerprint", fingerprint}, {"rule", rule_->name}}, started_);
         refuse("crash_guard", known.retry_after);
         return false;
     }
@@ -369,7 +361,7 @@
         return;
     case call_outcome::crashed:
         suspect_ = true;
-        owner_->guard.suspect(fingerprint(), owner_->loop.now());
+        owner_->guard.suspect(fingerprint_of(exchange_->request()), owner_->loop.now());
         after_failure(metadata, 502);
         return;
     case call_outcome::failed:
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -52,7 +52,6 @@
     void finish();
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds time_to_objective() const;
-    std::uint64_t fingerprint() const;
 
     std::shared_ptr<sidecar::impl> owner_;
     std::shared_ptr<http_exchange> exchange_;
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -22,11 +22,11 @@
 
 } // namespace
 
-std::uint64_t request_fingerprint(std::string_view service, std::string_view method,
+std::uint64_t request_fingerprint(std::string_view scope, std::string_view method,
                                   std::string_view path, std::string_view body)
 {
     // Each hash seeds the next one, so that moving a character between parts changes the result.
-    return hash64(body, hash64(path, hash64(method, hash64(service))));
+    return hash64(body, hash64(path, hash64(method, hash64(scope))));
 }
 
 crash_guard::crash_guard(const crash_guard_options& options) : options_(options)
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -2,8 +2,6 @@
 
 #include "connect_probe.h"
 
-#include <agatespread/digest.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -44,9 +42,7 @@
         respond(call_outcome::unavailable, {}, "other_service", unavailable_retry_after);
         return;
     }
-    fingerprint_ =
-        hash64(metadata_.caller_service, request_fingerprint(metadata_.service, request_.method,
-                                                             request_.target, request_.body));
+    fingerprint_ = fingerprint_of(request_);
     const guard_decision entry =
         owner_->guard.enter(id_, fingerprint_, metadata_.suspect, arrived_);
     if (entry.verdict == guard_verdict::pass) {
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -37,6 +37,11 @@
 
 } // namespace
 
+std::string canonical_host(std::string_view host_header)
+{
+    return lower_case(host_header.substr(0, host_header.find(':')));
+}
+
 routing_table::routing_table(config_version version, const caller_limits& limits)
     : version_(version), limits_(limits)
 {
@@ -76,7 +81,7 @@
 std::shared_ptr<const route_rule> routing_table::find(std::string_view host,
                                                       std::string_view target) const
 {
-    const auto rules = hosts_.find(lower_case(host.substr(0, host.find(':'))));
+    const auto rules = hosts_.find(canonical_host(host));
     if (rules == hosts_.end()) {
         return nullptr;
     }
--- a/src/sidecar_call.cpp
+++ b/src/sidecar_call.cpp
@@ -2,6 +2,9 @@
 
 #include "proxy_headers.h"
 
+#include <agatespread/crash_guard.h>
+#include <agatespread/routing.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -51,6 +54,12 @@
     return outcome_names[static_cast<std::size_t>(outcome)];
 }
 
+std::uint64_t fingerprint_of(const http_request& request)
+{
+    return request_fingerprint(canonical_host(request.headers.get("Host")), request.method,
+                               request.target, request.body);
+}
+
 void write_forwarded_request(const forwarded_request_metadata& metadata, http_headers& headers)
 {
     const std::string time_to_objective = metadata.time_to_objective
--- a/src/sidecar_call.h
+++ b/src/sidecar_call.h
@@ -47,6 +47,10 @@
 /// that does not come from a node.
 std::optional<forwarded_response_metadata> read_forwarded_response(const http_headers& headers);
 
+/// Returns the fingerprint of a caller's request, which depends neither on the caller's host nor on
+/// the service that the route selects.
+std::uint64_t fingerprint_of(const http_request& request);
+
 /// Returns the name of an outcome, such as "not_run".
 std::string_view name_of(call_outcome outcome);
 
--- a/test/sidecar-crash-test.cpp
+++ b/test/sidecar-crash-test.cpp
@@ -265,6 +265,22 @@
     EXPECT_LE(a.ended, max_ended_upstreams);
 }
 
+// Guards against a count for each caller's service.
+TEST_F(sidecar_crash, request_is_blocked_for_all_callers)
+{
+    start_host(a, "a", "rounds");
+    start_host(b, "b", "orders");
+    ASSERT_TRUE(eventually_responds_with(b, 200));
+    for (int count = 0; count < 3; ++count) {
+        send_crash(a);
+        restart_upstream(a);
+        ASSERT_TRUE(eventually_responds_with(b, 200));
+        send_crash(b);
+        restart_upstream(a);
+    }
+    EXPECT_LE(a.ended, max_ended_upstreams);
+}
+
 // Guards against a new count for the same request after its route changed.
 TEST_F(sidecar_crash, block_outlasts_a_change_of_the_route)
 {
