sidecar: repeat suspects and blocks to peers that missed their reports

Callers saw a blocked request accepted again after a node had restarted, with up to two more ended upstreams for each restart. Cause: a decision of the crash guard was part of the reports of one node for 3 s and was then repeated by nobody. A node that started, was cut off, frozen or dark in these seconds did not learn of it, and a restarted node forgot its own. Change: every 250 ms each node sends what its guard knows to one random peer, in pages that fit into a datagram; blocks with the time that is left, suspects for two minutes, so that they end. A success is remembered for 5 s, so that an older report does not undo it. A block report carries the number of blocks, which no longer follows from the length. Weighed: repeating all in every report (grows with nodes and blocks), and only after a peer's new incarnation (misses nodes that were cut off or frozen).

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -36,6 +36,9 @@
     /// heartbeat is late.
     std::chrono::milliseconds restart_notice = std::chrono::seconds(3);
     std::size_t max_unanswered = 256;
+    /// Reports of other nodes do not make a fingerprint suspect within this time of a success:
+    /// they may have been sent before it.
+    std::chrono::milliseconds success_retention = std::chrono::seconds(5);
     std::size_t max_fingerprints = 8192;
     std::size_t max_waiting = 32; ///< Suspects queued for the upstream; more are refused.
 };
@@ -55,6 +58,20 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// What a guard knows of a fingerprint.
+struct known_fingerprint {
+    std::uint64_t fingerprint = 0;
+    suspicion state = suspicion::none;
+    std::uint32_t crashes = 0; ///< With a call in flight, since the last success.
+    std::uint32_t blocks = 0;  ///< Including the present one.
+    std::chrono::milliseconds blocked_for{0};
+    std::chrono::milliseconds known_for{0}; ///< Since the fingerprint became suspect.
+};
+
+/// Returns the report of a block; `blocks` is its number for the fingerprint, from 1.
+crash_report make_block_report(std::uint64_t fingerprint, std::uint32_t blocks,
+                               std::chrono::milliseconds blocked_for);
+
 /// Whether a call may be sent to this node's upstream.
 enum class guard_verdict : std::uint8_t {
     pass,
@@ -143,6 +160,9 @@
     /// forwarded.
     bool receive(const crash_report& report, time_point now);
 
+    /// Returns the suspects and blocks, in no order.
+    std::vector<known_fingerprint> known_fingerprints(time_point now) const;
+
     /// Removes expired fingerprints.
     void expire(time_point now);
 
@@ -155,8 +175,10 @@
         std::uint32_t blocks = 0;
         std::uint32_t crashes = 0; ///< With a call in flight, since the last success.
         time_point last_crash;     ///< The last one that `crashes` counts.
-        time_point until;          ///< End of the suspicion or block.
-        time_point expires_at;     ///< When the entry and its number of blocks expire.
+        time_point suspected_at;
+        time_point cleared_at;
+        time_point until;      ///< End of the suspicion or block.
+        time_point expires_at; ///< When the entry and its number of blocks expire.
     };
 
     struct shard {
@@ -190,7 +212,7 @@
     static void evict(shard& owning_shard, time_point now, std::atomic<std::size_t>& size);
     bool make_suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
     std::uint32_t crashes_including_now(std::uint64_t fingerprint, time_point now) const;
-    std::chrono::milliseconds block(std::uint64_t fingerprint, time_point now);
+    crash_report block(std::uint64_t fingerprint, time_point now);
     bool clear(std::uint64_t fingerprint, time_point now);
     bool block_until(std::uint64_t fingerprint, std::uint32_t blocks,
                      std::chrono::milliseconds length, time_point now);
@@ -202,7 +224,7 @@
     std::vector<call_in_flight> take_unanswered(time_point now);
     void attribute_crash(const std::vector<call_in_flight>& in_flight, guard_actions& actions,
                          time_point now);
-    crash_report block_and_report(std::uint64_t fingerprint, time_point now);
+    bool cleared_recently(std::uint64_t fingerprint, time_point now) const;
 
     const crash_guard_options options_;
     mutable std::array<shard, 16> shards_;
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -29,6 +29,16 @@
     return hash64(body, hash64(path, hash64(method, hash64(scope))));
 }
 
+crash_report make_block_report(std::uint64_t fingerprint, std::uint32_t blocks,
+                               milliseconds blocked_for)
+{
+    crash_report report;
+    report.fingerprint = fingerprint;
+    report.crashes = blocks + 1; // The first block follows the second crash.
+    report.blocked_for = blocked_for;
+    return report;
+}
+
 crash_guard::crash_guard(const crash_guard_options& options) : options_(options)
 {
 }
@@ -114,6 +124,7 @@
         known.blocks = 0;
     }
     known.state = suspicion::suspect;
+    known.suspected_at = now;
     known.until = now + options_.suspect_duration;
     known.expires_at = std::max(known.expires_at, known.until);
     return true;
@@ -151,7 +162,7 @@
     return true;
 }
 
-milliseconds crash_guard::block(std::uint64_t fingerprint, time_point now)
+crash_report crash_guard::block(std::uint64_t fingerprint, time_point now)
 {
     std::uint32_t blocks = 0;
     {
@@ -166,7 +177,7 @@
     }
     length = std::min(length, options_.max_block);
     block_until(fingerprint, blocks + 1, length, now);
-    return length;
+    return make_block_report(fingerprint, blocks + 1, length);
 }
 
 bool crash_guard::clear(std::uint64_t fingerprint, time_point now)
@@ -181,9 +192,9 @@
     }
     found->second.state = suspicion::none;
     found->second.crashes = 0;
+    found->second.cleared_at = now;
     if (found->second.blocks == 0) {
-        owning_shard.entries.erase(found);
-        size_.fetch_sub(1, std::memory_order_relaxed);
+        found->second.expires_at = now + options_.success_retention;
     }
     return true;
 }
@@ -362,15 +373,6 @@
     return found->second.crashes + (same_crash ? 0 : 1);
 }
 
-crash_report crash_guard::block_and_report(std::uint64_t fingerprint, time_point now)
-{
-    crash_report report;
-    report.fingerprint = fingerprint;
-    report.crashes = 2;
-    report.blocked_for = block(fingerprint, now);
-    return report;
-}
-
 void crash_guard::attribute_crash(const std::vector<call_in_flight>& in_flight,
                                   guard_actions& actions, time_point now)
 {
@@ -385,7 +387,7 @@
         }
         const std::uint32_t crashes = crashes_including_now(each.fingerprint, now);
         if ((identified && is_sole_suspect(each)) || crashes >= options_.max_crashes) {
-            actions.reports.push_back(block_and_report(each.fingerprint, now));
+            actions.reports.push_back(block(each.fingerprint, now));
         }
         else if (make_suspect(each.fingerprint, crashes, now)) {
             crash_report& report = suspects_by_crashes[crashes];
@@ -459,20 +461,45 @@
     }
     bool changed = false;
     if (report.blocked_for.count() > 0) {
-        const milliseconds length = std::min(report.blocked_for, options_.max_block);
-        // The number of blocks follows from the length, because each block doubles it.
-        std::uint32_t blocks = 1;
-        for (milliseconds each = options_.initial_block; each < length; each *= 2) {
-            ++blocks;
-        }
-        changed = block_until(report.fingerprint, blocks, length, now);
+        const std::uint32_t blocks = std::max(report.crashes, 2U) - 1;
+        changed = block_until(report.fingerprint, blocks,
+                              std::min(report.blocked_for, options_.max_block), now);
     }
     for (const std::uint64_t fingerprint : report.suspects) {
+        if (cleared_recently(fingerprint, now)) {
+            continue;
+        }
         changed = make_suspect(fingerprint, std::max(report.crashes, 1U), now) || changed;
     }
     return changed;
 }
 
+bool crash_guard::cleared_recently(std::uint64_t fingerprint, time_point now) const
+{
+    shard& owning_shard = shard_of(fingerprint);
+    const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+    const auto found = owning_shard.entries.find(fingerprint);
+    return found != owning_shard.entries.end() && found->second.state == suspicion::none &&
+           now - found->second.cleared_at <= options_.success_retention;
+}
+
+std::vector<known_fingerprint> crash_guard::known_fingerprints(time_point now) const
+{
+    std::vector<known_fingerprint> result;
+    for (shard& current_shard : shards_) {
+        const std::lock_guard<std::mutex> lock(current_shard.mutex);
+        for (const std::pair<const std::uint64_t, entry>& each : current_shard.entries) {
+            const guard_check now_known = current_state(each.second, now);
+            if (now_known.state != suspicion::none) {
+                result.push_back({each.first, now_known.state, each.second.crashes,
+                                  each.second.blocks, now_known.retry_after,
+                                  duration_cast<milliseconds>(now - each.second.suspected_at)});
+            }
+        }
+    }
+    return result;
+}
+
 void crash_guard::expire(time_point now)
 {
     using item = std::pair<const std::uint64_t, entry>;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -57,8 +57,10 @@
 // failure domain becomes a reader.
 constexpr milliseconds configuration_poll_timeout = std::chrono::seconds(5);
 
-// A crash is included in all reports for this time, since a datagram may be lost.
-constexpr milliseconds crash_report_retention = std::chrono::seconds(3);
+// Interval at which a node repeats to one random peer what its crash guard knows. As all nodes do
+// so, a node that starts hears of it about four times a second, at a cost that does not grow with
+// the number of nodes.
+constexpr milliseconds crash_state_period{250};
 
 // A crash of a busy upstream makes many fingerprints suspect; a log line lists this many of them.
 constexpr std::size_t max_logged_fingerprints = 16;
@@ -137,7 +139,7 @@
       log(settings.node, settings.log, [] { return std::chrono::system_clock::now(); }),
       counters(data), shares(random), retries(settings.retries),
       known_peers(settings.node, settings.failure_domain, settings.peers), guard({}),
-      gate(settings.admission), link(settings.link_bytes_per_second),
+      crash_state(guard, {}), gate(settings.admission), link(settings.link_bytes_per_second),
       client(loop, client_connections_per_host), incarnation(random())
 {
 }
@@ -191,6 +193,8 @@
         known_peers.expire(now);
         guard.expire(now);
     });
+    crash_state_timer =
+        loop.every(crash_state_period, [this](time_point now) { share_crash_state(now); });
     return absl::OkStatus();
 }
 
@@ -343,20 +347,18 @@
     return make_load_report(gate.load(now), link, failures, now);
 }
 
-peer_report sidecar::impl::make_report() const
+std::string sidecar::impl::next_report(std::vector<crash_report> crashes)
 {
     peer_report report;
     report.entry = own_entry();
     report.incarnation = incarnation;
-    report.sequence = report_sequence;
+    report.sequence = ++report_sequence;
     report.state = stopping ? upstream_state::draining : gate_state();
     report.load = own_load();
     report.can_read_platform = !reading_configuration || !configuration_watch->failing();
     report.in_force = table ? table->version() : 0;
-    for (const std::pair<time_point, crash_report>& crash : crashes) {
-        report.crashes.push_back(crash.second);
-    }
-    return report;
+    report.crashes = std::move(crashes);
+    return encode_report(report);
 }
 
 void sidecar::impl::schedule_report(bool own_domain)
@@ -402,18 +404,29 @@
 
 void sidecar::impl::send_report(bool own_domain)
 {
-    const time_point now = loop.now();
-    while (!crashes.empty() && now - crashes.front().first > crash_report_retention) {
-        crashes.pop_front();
-    }
-    ++report_sequence;
-    const std::string bytes = encode_report(make_report());
+    const std::string bytes = next_report(crash_state.recent_decisions(loop.now()));
     for (const peer_entry& peer : known_peers.in_domain(own_domain)) {
         reports->send(peer.report_address, bytes);
         counters.reports_sent.add();
     }
 }
 
+void sidecar::impl::share_crash_state(time_point now)
+{
+    std::vector<crash_report> page = crash_state.next_page(now);
+    if (page.empty()) {
+        return;
+    }
+    std::vector<peer_entry> recipients = known_peers.in_domain(true);
+    const std::vector<peer_entry> remote = known_peers.in_domain(false);
+    recipients.insert(recipients.end(), remote.begin(), remote.end());
+    if (!recipients.empty()) {
+        const peer_entry& peer = recipients[uniform_below(random, recipients.size())];
+        reports->send(peer.report_address, next_report(std::move(page)));
+        counters.reports_sent.add();
+    }
+}
+
 void sidecar::impl::receive_report(std::string_view bytes)
 {
     const absl::StatusOr<peer_report> report = decode_report(bytes);
@@ -476,7 +489,7 @@
         counters.crash_suspects.add(report.suspects.size());
         counters.crash_blocks.add(report.blocked_for.count() > 0 ? 1 : 0);
         log_crash_report(report, settings.node);
-        crashes.emplace_back(loop.now(), report);
+        crash_state.add(report, loop.now());
     }
     if (!new_reports.empty()) {
         send_report();
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_sharing.h"
 #include "datagram_socket.h"
 #include "sidecar_call.h"
 
@@ -10,7 +11,6 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -82,9 +82,10 @@
     void schedule_report(bool own_domain);
     void send_report();
     void send_report(bool own_domain);
+    void share_crash_state(time_point now);
     void close_idle_connections();
     reported_load own_load() const;
-    peer_report make_report() const;
+    std::string next_report(std::vector<crash_report> crashes);
     void receive_report(std::string_view bytes);
     void publish_crashes(const std::vector<crash_report>& reports);
     void log_crash_report(const crash_report& report, const node_id& from);
@@ -131,6 +132,7 @@
     repeat_budget retries;
     peers known_peers;
     crash_guard guard;
+    detail::crash_sharing crash_state;
     admission gate;
     link_backlog link;
     upstream_lifecycle upstream;
@@ -157,10 +159,10 @@
     subscription gate_timer;
     subscription shutdown_timer;
     subscription expire_timer;
+    subscription crash_state_timer;
 
     std::uint64_t incarnation = 0;
     std::uint64_t report_sequence = 0;
-    std::deque<std::pair<time_point, crash_report>> crashes; ///< Recent, repeated in each report.
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<detail::gate_request>> gate_requests;
     std::uint64_t last_gate_id = 0;
     std::size_t unanswered_in_slots = 0; ///< Ended requests that still hold a slot of the gate.
--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -224,6 +224,7 @@
     crash_guard guard({});
     crash_report report;
     report.fingerprint = 7;
+    report.crashes = 3; // Two blocks.
     report.blocked_for = minutes(20);
     EXPECT_TRUE(guard.receive(report, start));
     EXPECT_EQ(guard.check(7, start).state, suspicion::blocked);
@@ -231,7 +232,7 @@
     report.cleared = true;
     EXPECT_FALSE(guard.receive(report, start));
     EXPECT_EQ(guard.check(7, start).state, suspicion::blocked);
-    // 20 minutes is the length of the second block, so the next one lasts 40 minutes.
+    // The second block lasts 20 minutes, so the next one lasts 40 minutes.
     EXPECT_EQ(crash_with(guard, 1, 7, start + minutes(21)).reports[0].blocked_for, minutes(40));
 }
 
