sidecar: keep the blocks of the crash guard on the platform

Callers saw a blocked request accepted again after all nodes had been killed at the same time, with two more ended upstreams for each such kill. Cause: blocks were kept only in the memory of the nodes, and nothing outlasts a process here except on the platform. Change: the node that decides a block writes a row (fingerprint, number of blocks, end); a starting node reads the table once. Costs one read call for each start and one write for each block. Suspects are not stored: their loss costs one more crash at most.

--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -139,7 +139,13 @@
       log(settings.node, settings.log, [] { return std::chrono::system_clock::now(); }),
       counters(data), shares(random), retries(settings.retries),
       known_peers(settings.node, settings.failure_domain, settings.peers), guard({}),
-      crash_state(guard, {}), gate(settings.admission), link(settings.link_bytes_per_second),
+      crash_state(guard, {}), blocks(
+                                  driver, loop, [] { return std::chrono::system_clock::now(); },
+                                  [this](std::string_view action, const absl::Status& status) {
+                                      log_block_row_error(action, status);
+                                  },
+                                  {}),
+      gate(settings.admission), link(settings.link_bytes_per_second),
       client(loop, client_connections_per_host), incarnation(random())
 {
 }
@@ -186,6 +192,7 @@
                            {"calls", call_listener->address()},
                            {"process", incarnation}});
     watch_platform();
+    load_blocks();
     schedule_report(true);
     schedule_report(false);
     probe_timer = loop.after(first_probe_delay, [this](time_point) { probe_upstream(); });
@@ -464,7 +471,7 @@
                            same_domain ? near_fetch_jitter : far_fetch_delay + near_fetch_jitter);
 }
 
-void sidecar::impl::log_crash_report(const crash_report& report, const node_id& from)
+void sidecar::impl::log_crash_report(const crash_report& report, std::string_view from)
 {
     const bool blocked = report.blocked_for.count() > 0;
     const std::string_view state = report.cleared ? "cleared" : blocked ? "blocked" : "suspect";
@@ -483,6 +490,21 @@
     counters.crash_fingerprints.set(static_cast<std::int64_t>(guard.size()));
 }
 
+void sidecar::impl::load_blocks()
+{
+    blocks.load([this](const crash_report& block) {
+        if (guard.receive(block, loop.now())) {
+            log_crash_report(block, "platform");
+        }
+    });
+}
+
+void sidecar::impl::log_block_row_error(std::string_view action, const absl::Status& status)
+{
+    counters.platform_errors.add();
+    log.change("block_row_failed", {{"action", action}, {"error", std::string(status.message())}});
+}
+
 void sidecar::impl::publish_crashes(const std::vector<crash_report>& new_reports)
 {
     for (const crash_report& report : new_reports) {
@@ -490,6 +512,9 @@
         counters.crash_blocks.add(report.blocked_for.count() > 0 ? 1 : 0);
         log_crash_report(report, settings.node);
         crash_state.add(report, loop.now());
+        if (report.blocked_for.count() > 0) {
+            blocks.store(report);
+        }
     }
     if (!new_reports.empty()) {
         send_report();
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "block_rows.h"
 #include "crash_sharing.h"
 #include "datagram_socket.h"
 #include "sidecar_call.h"
@@ -88,7 +89,9 @@
     std::string next_report(std::vector<crash_report> crashes);
     void receive_report(std::string_view bytes);
     void publish_crashes(const std::vector<crash_report>& reports);
-    void log_crash_report(const crash_report& report, const node_id& from);
+    void log_crash_report(const crash_report& report, std::string_view from);
+    void load_blocks();
+    void log_block_row_error(std::string_view action, const absl::Status& status);
     std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
     void fetch_from_peer();
     void handle_fetched_configuration(const http_result& result, const node_id& node);
@@ -133,6 +136,7 @@
     peers known_peers;
     crash_guard guard;
     detail::crash_sharing crash_state;
+    detail::block_rows blocks;
     admission gate;
     link_backlog link;
     upstream_lifecycle upstream;
