crash guard: try a repeated suspect on one upstream of the mesh; short first blocks

Callers of harmless requests would have been refused for ten minutes after unrelated crashes, the more so now that unanswered calls count; and a crashing request that came often still reached many upstreams before it was blocked. A call on a silent upstream that timed out more than 1 s after the first one counted as a second crash and blocked whichever suspect held the slot; suspects ran on all upstreams at once; a block lasted 10 minutes at least; a restarted node forgot the number of blocks. Change: a call that ran at a counted crash counts no further one. A fingerprint that was blocked, or in flight at two crashes, runs on one upstream while all nodes block it for 3 s at most, or until it succeeds. A suspect that started after the upstream had been silent for 0.5 s does not identify a crash; of several, the one in flight at the most crashes does. Rows keep the number of blocks for 4 h.

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -10,7 +10,9 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -19,17 +21,27 @@
 /// The durations and limits of the crash guard.
 struct crash_guard_options {
     std::chrono::milliseconds suspect_duration = std::chrono::minutes(10);
-    std::chrono::milliseconds initial_block = std::chrono::minutes(10);
-    std::chrono::milliseconds max_block = std::chrono::hours(1);
-    /// How long after the end of a block the next one is twice as long; later blocks start at
+    /// Short, because unrelated crashes may block a harmless request; each further block without a
+    /// success is `block_growth` times as long.
+    std::chrono::milliseconds initial_block = std::chrono::seconds(40);
+    int block_growth = 10;
+    std::chrono::milliseconds max_block = std::chrono::hours(24);
+    /// How long after the end of a block the next one is longer; later blocks start at
     /// `initial_block` again.
     std::chrono::milliseconds block_count_retention = std::chrono::hours(4);
-    /// Connections lost within this time of a crash do not count as further crashes, and a
-    /// fingerprint in flight at several crashes within it counts one of them.
+    /// While a fingerprint that was blocked or in flight at two crashes runs on one upstream, all
+    /// nodes block it for this time, which suffices to learn how the call ended.
+    std::chrono::milliseconds trial_duration = std::chrono::seconds(3);
+    /// Most trials end sooner, by the response of a harmless request.
+    std::chrono::milliseconds trial_retry_after = std::chrono::milliseconds(250);
+    /// Crashes within this time of each other may have one cause outside of the requests.
     std::chrono::milliseconds crash_window = std::chrono::seconds(1);
-    /// A fingerprint in flight at this number of crashes is blocked even if another call may have
-    /// caused each of them.
-    std::uint32_t max_crashes = 3;
+    /// A fingerprint in flight at this number of crashes, each more than `crash_window` after the
+    /// previous one, is blocked even if another call may have caused each of them.
+    std::uint32_t max_separate_crashes = 3;
+    /// A call that started when the upstream had not responded to earlier ones for longer than this
+    /// does not identify the crash, since the upstream had probably ended before.
+    std::chrono::milliseconds max_silence = std::chrono::milliseconds(500);
     /// How long after an unanswered call the end of a silent upstream is attributed to it.
     std::chrono::milliseconds unanswered_retention = std::chrono::seconds(15);
     /// The same for an upstream that has responded since: it may be a new process whose first
@@ -68,7 +80,8 @@
     std::chrono::milliseconds known_for{0}; ///< Since the fingerprint became suspect.
 };
 
-/// Returns the report of a block; `blocks` is its number for the fingerprint, from 1.
+/// Returns the report of a block; `blocks` is its number for the fingerprint, from 1, or that of
+/// the previous block for a trial.
 crash_report make_block_report(std::uint64_t fingerprint, std::uint32_t blocks,
                                std::chrono::milliseconds blocked_for);
 
@@ -83,6 +96,8 @@
 struct guard_decision {
     guard_verdict verdict = guard_verdict::pass;
     std::chrono::milliseconds retry_after{0};
+    /// A report for other nodes, which must not run the fingerprint at the same time.
+    std::optional<crash_report> trial;
 };
 
 /// How a call that got a response, or was not run, ended.
@@ -104,7 +119,8 @@
 ///
 /// All fingerprints in flight at a crash become suspects. Suspects run one at a time on an
 /// upstream, so that a crash identifies the one suspect in flight, whose fingerprint is blocked. A
-/// suspect that succeeds is cleared.
+/// suspect that succeeds is cleared. After a block, and after two crashes, a suspect runs on one
+/// upstream of the whole mesh at a time.
 ///
 /// An upstream does not always close its connections when it ends. A call without a response is
 /// therefore remembered after its end, and is in flight at a crash that becomes known later.
@@ -144,8 +160,8 @@
 
     /// Ends a call whose connection was lost because this node's upstream crashed.
     ///
-    /// The connections of the other running calls are lost within `crash_window` for the same
-    /// reason; they are not counted as further crashes.
+    /// The other running calls end for the same reason, those on a silent upstream only at their
+    /// deadlines; they are not counted as further crashes.
     guard_actions crashed(std::uint64_t call, time_point now);
 
     /// Attributes the end of this node's upstream, which refuses connections, to the unanswered
@@ -173,8 +189,9 @@
     struct entry {
         suspicion state = suspicion::none;
         std::uint32_t blocks = 0;
-        std::uint32_t crashes = 0; ///< With a call in flight, since the last success.
-        time_point last_crash;     ///< The last one that `crashes` counts.
+        std::uint32_t crashes = 0;          ///< With a call in flight, since the last success.
+        std::uint32_t separate_crashes = 0; ///< As `crashes`, but one in each `crash_window`.
+        time_point last_separate_crash;
         time_point suspected_at;
         time_point cleared_at;
         time_point until;      ///< End of the suspicion or block.
@@ -191,29 +208,43 @@
         bool holds_suspect_slot = false; ///< It is the one suspect that may run.
         bool running = false;
         bool in_counted_crash = false; ///< Was running at a crash that is already counted.
+        time_point started_at;
     };
 
-    struct unanswered_call {
+    /// A call that was running at a crash or may have been.
+    struct call_in_flight {
         std::uint64_t fingerprint = 0;
         bool held_suspect_slot = false;
+        time_point started_at;
+    };
+
+    struct unanswered_call {
+        call_in_flight run;
         bool upstream_responded = false; ///< After `runs_until`, to another call.
         time_point runs_until;
     };
 
-    /// A call that was running at a crash or may have been.
-    struct call_in_flight {
-        std::uint64_t fingerprint = 0;
-        bool held_suspect_slot = false;
+    struct crash_count {
+        std::uint32_t crashes = 0;
+        std::uint32_t separate = 0;
+        bool decided = false; ///< The fingerprint is blocked for longer than a trial.
     };
 
     shard& shard_of(std::uint64_t fingerprint) const;
-    static guard_check current_state(const entry& known, time_point now);
+    guard_check current_state(const entry& known, time_point now) const;
     entry& find_or_insert(shard& owning_shard, std::uint64_t fingerprint, time_point now);
     static void evict(shard& owning_shard, time_point now, std::atomic<std::size_t>& size);
     bool make_suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
-    std::uint32_t crashes_including_now(std::uint64_t fingerprint, time_point now) const;
+    void count_crash(std::uint64_t fingerprint,
+                     std::map<std::uint32_t, crash_report>& suspects_by_crashes,
+                     guard_actions& actions, time_point now);
+    crash_count crashes_of(std::uint64_t fingerprint, time_point now) const;
     crash_report block(std::uint64_t fingerprint, time_point now);
-    bool clear(std::uint64_t fingerprint, time_point now);
+    bool is_undecided(const entry& known, time_point now) const;
+    bool is_undecided(std::uint64_t fingerprint, time_point now) const;
+    std::optional<crash_report> begin_trial(std::uint64_t fingerprint, time_point now);
+    /// Returns the number of blocks that the success ended, or nothing if none was suspect.
+    std::optional<std::uint32_t> clear(std::uint64_t fingerprint, time_point now);
     bool block_until(std::uint64_t fingerprint, std::uint32_t blocks,
                      std::chrono::milliseconds length, time_point now);
     guard_decision admit(std::uint64_t id, call& entered, time_point now);
@@ -222,6 +253,8 @@
     void record_response(time_point now);
     std::vector<call_in_flight> take_running();
     std::vector<call_in_flight> take_unanswered(time_point now);
+    bool identifies_crash(const call_in_flight& candidate, time_point earliest_start,
+                          time_point now) const;
     void attribute_crash(const std::vector<call_in_flight>& in_flight, guard_actions& actions,
                          time_point now);
     bool cleared_recently(std::uint64_t fingerprint, time_point now) const;
@@ -235,7 +268,7 @@
     std::deque<std::uint64_t> waiting_;
     std::deque<unanswered_call> unanswered_;
     bool suspect_running_ = false;
-    time_point last_crash_;
+    time_point last_response_; ///< Of this node's upstream.
 };
 
 } // namespace agatespread
--- a/src/block_rows.cpp
+++ b/src/block_rows.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -96,10 +97,11 @@
             continue;
         }
         const milliseconds remaining = duration_cast<milliseconds>(content->end - clock_());
-        if (remaining.count() > 0) {
-            on_block_(make_block_report(content->fingerprint, content->blocks, remaining));
+        if (-remaining <= options_.retention) {
+            on_block_(make_block_report(content->fingerprint, content->blocks,
+                                        std::max(remaining, milliseconds(1))));
         }
-        else if (-remaining > options_.removal_delay && ended.size() < options_.max_removals) {
+        else if (ended.size() < options_.max_removals) {
             ended.push_back(each);
         }
     }
@@ -131,6 +133,12 @@
     write_pending();
 }
 
+void block_rows::remove(std::uint64_t fingerprint)
+{
+    pending_[fingerprint] = {0, clock_() + options_.removal_timeout};
+    write_pending();
+}
+
 void block_rows::write_pending()
 {
     const system_clock::time_point now = clock_();
@@ -140,8 +148,10 @@
             each = pending_.erase(each);
             continue;
         }
+        const bool removed = each->second.blocks == 0;
         change.writes.push_back(
-            {key_of(each->first), encode_value(each->second.blocks, each->second.end)});
+            {key_of(each->first), removed ? std::optional<std::string>()
+                                          : encode_value(each->second.blocks, each->second.end)});
         ++each;
     }
     if (write_in_flight_ || change.writes.empty()) {
--- a/src/block_rows.h
+++ b/src/block_rows.h
@@ -22,8 +22,11 @@
 struct block_rows_options {
     std::string prefix = "blocks/";
     std::chrono::milliseconds retry_delay = std::chrono::seconds(1);
-    /// A row is removed this long after the end of its block, because the clocks of hosts differ.
-    std::chrono::milliseconds removal_delay = std::chrono::minutes(1);
+    /// A row is removed this long after the end of its block; until then its number of blocks
+    /// counts.
+    std::chrono::milliseconds retention = std::chrono::hours(4);
+    /// How long a failed removal of a cleared block is repeated.
+    std::chrono::milliseconds removal_timeout = std::chrono::minutes(1);
     std::size_t max_rows = 1000;
     std::size_t max_removals = 20; ///< In one transaction.
 };
@@ -46,15 +49,19 @@
     block_rows& operator=(const block_rows&) = delete;
     ~block_rows();
 
-    /// Reads all blocks once and passes those that have not ended to the hook.
+    /// Reads all blocks once and passes them to the hook, those that have ended with a time of 1
+    /// ms.
     void load(block_hook on_block);
 
     /// Writes the block of a report.
     void store(const crash_report& block);
 
+    /// Removes the row of a fingerprint that a success cleared.
+    void remove(std::uint64_t fingerprint);
+
 private:
     struct stored_block {
-        std::uint32_t blocks = 0;
+        std::uint32_t blocks = 0; ///< 0 to remove the row.
         std::chrono::system_clock::time_point end;
     };
 
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -1,8 +1,9 @@
 #include <agatespread/crash_guard.h>
 #include <agatespread/digest.h>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace agatespread {
@@ -48,18 +49,23 @@
     return shards_[fingerprint % shards_.size()];
 }
 
-guard_check crash_guard::current_state(const entry& known, time_point now)
+guard_check crash_guard::current_state(const entry& known, time_point now) const
 {
     if (known.state == suspicion::none || known.expires_at <= now) {
         return {};
     }
-    if (known.until > now) {
-        return {known.state, known.state == suspicion::blocked ? remaining_time(known.until, now)
-                                                               : milliseconds(0)};
+    if (known.until <= now) {
+        // After a block the fingerprint stays suspect until a call succeeds or the entry expires.
+        return {known.state == suspicion::blocked ? suspicion::suspect : suspicion::none,
+                milliseconds(0)};
+    }
+    if (known.state == suspicion::suspect) {
+        return {suspicion::suspect, milliseconds(0)};
     }
-    // After a block the fingerprint stays suspect until a call completes or the entry expires.
-    return {known.state == suspicion::blocked ? suspicion::suspect : suspicion::none,
-            milliseconds(0)};
+    const milliseconds remaining = remaining_time(known.until, now);
+    const bool trial = remaining <= options_.trial_duration;
+    return {suspicion::blocked,
+            trial ? std::min(remaining, options_.trial_retry_after) : remaining};
 }
 
 guard_check crash_guard::check(std::uint64_t fingerprint, time_point now) const
@@ -111,22 +117,24 @@
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     entry& known = find_or_insert(owning_shard, fingerprint, now);
-    const bool known_before = current_state(known, now).state != suspicion::none;
-    if (known_before && crashes <= known.crashes) {
+    if (current_state(known, now).state == suspicion::none) {
+        const std::uint32_t blocks = known.expires_at <= now ? 0 : known.blocks;
+        const time_point keep_until = known.expires_at;
+        known = {};
+        known.state = suspicion::suspect;
+        known.blocks = blocks;
+        known.suspected_at = now;
+        known.until = now + options_.suspect_duration;
+        known.expires_at = std::max(keep_until, known.until);
+    }
+    else if (crashes <= known.crashes) {
         return false;
     }
     known.crashes = crashes;
-    known.last_crash = now;
-    if (known_before) {
-        return true;
-    }
-    if (known.expires_at <= now) {
-        known.blocks = 0;
+    if (known.separate_crashes == 0 || now - known.last_separate_crash > options_.crash_window) {
+        ++known.separate_crashes;
+        known.last_separate_crash = now;
     }
-    known.state = suspicion::suspect;
-    known.suspected_at = now;
-    known.until = now + options_.suspect_duration;
-    known.expires_at = std::max(known.expires_at, known.until);
     return true;
 }
 
@@ -172,31 +180,60 @@
         blocks = known.expires_at <= now ? 0 : known.blocks;
     }
     milliseconds length = options_.initial_block;
-    for (std::uint32_t i = 0; i < blocks && length < options_.max_block; ++i) {
-        length *= 2;
+    for (std::uint32_t number = 0; number < blocks && length < options_.max_block; ++number) {
+        length *= options_.block_growth;
     }
     length = std::min(length, options_.max_block);
     block_until(fingerprint, blocks + 1, length, now);
     return make_block_report(fingerprint, blocks + 1, length);
 }
 
-bool crash_guard::clear(std::uint64_t fingerprint, time_point now)
+bool crash_guard::is_undecided(const entry& known, time_point now) const
+{
+    const suspicion state = current_state(known, now).state;
+    return state == suspicion::suspect ||
+           (state == suspicion::blocked && known.until - now <= options_.trial_duration);
+}
+
+bool crash_guard::is_undecided(std::uint64_t fingerprint, time_point now) const
 {
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
-    // A block stays until its end: a call that completes meanwhile was started before it.
-    if (found == owning_shard.entries.end() ||
-        current_state(found->second, now).state != suspicion::suspect) {
-        return false;
+    return found != owning_shard.entries.end() && is_undecided(found->second, now);
+}
+
+std::optional<crash_report> crash_guard::begin_trial(std::uint64_t fingerprint, time_point now)
+{
+    std::uint32_t blocks = 0;
+    {
+        shard& owning_shard = shard_of(fingerprint);
+        const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+        const auto found = owning_shard.entries.find(fingerprint);
+        if (found == owning_shard.entries.end() ||
+            (found->second.blocks == 0 && found->second.crashes < 2)) {
+            return std::nullopt;
+        }
+        blocks = found->second.blocks;
     }
-    found->second.state = suspicion::none;
-    found->second.crashes = 0;
-    found->second.cleared_at = now;
-    if (found->second.blocks == 0) {
-        found->second.expires_at = now + options_.success_retention;
+    block_until(fingerprint, blocks, options_.trial_duration, now);
+    return make_block_report(fingerprint, blocks, options_.trial_duration);
+}
+
+std::optional<std::uint32_t> crash_guard::clear(std::uint64_t fingerprint, time_point now)
+{
+    shard& owning_shard = shard_of(fingerprint);
+    const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+    const auto found = owning_shard.entries.find(fingerprint);
+    // A longer block stays until its end: a call that completes meanwhile was started before it.
+    if (found == owning_shard.entries.end() || !is_undecided(found->second, now)) {
+        return std::nullopt;
     }
-    return true;
+    const std::uint32_t blocks = found->second.blocks;
+    found->second = {};
+    found->second.cleared_at = now;
+    found->second.expires_at = now + options_.success_retention;
+    return blocks;
 }
 
 guard_decision crash_guard::enter(std::uint64_t id, std::uint64_t fingerprint, bool suspected,
@@ -216,13 +253,16 @@
     const std::lock_guard<std::mutex> lock(calls_mutex_);
     const auto found = calls_.find(id);
     if (found == calls_.end()) {
-        return {guard_verdict::refuse, milliseconds(0)};
+        return {guard_verdict::refuse, milliseconds(0), std::nullopt};
     }
     call& queued = found->second;
-    const guard_decision result =
-        queued.holds_suspect_slot ? guard_decision() : admit(id, queued, now);
+    guard_decision result = queued.holds_suspect_slot ? guard_decision() : admit(id, queued, now);
     if (result.verdict == guard_verdict::pass) {
         queued.running = true;
+        queued.started_at = now;
+        if (queued.holds_suspect_slot) {
+            result.trial = begin_trial(queued.fingerprint, now);
+        }
     }
     return result;
 }
@@ -240,10 +280,11 @@
     }
     if (known.state == suspicion::suspect && waiting_.size() < options_.max_waiting) {
         waiting_.push_back(id);
-        return {guard_verdict::wait, milliseconds(0)};
+        return {guard_verdict::wait, milliseconds(0), std::nullopt};
     }
     calls_.erase(id);
-    return {guard_verdict::refuse, std::max(known.retry_after, queue_full_retry_after)};
+    return {guard_verdict::refuse, std::max(known.retry_after, queue_full_retry_after),
+            std::nullopt};
 }
 
 void crash_guard::release(guard_actions& actions, time_point now)
@@ -285,6 +326,7 @@
 
 void crash_guard::record_response(time_point now)
 {
+    last_response_ = now;
     for (unanswered_call& each : unanswered_) {
         each.upstream_responded = each.upstream_responded || each.runs_until <= now;
     }
@@ -302,11 +344,15 @@
     if (end != call_end::not_run) {
         record_response(now);
     }
-    if (end == call_end::succeeded && size() > 0 && clear(ended.fingerprint, now)) {
-        crash_report report;
-        report.fingerprint = ended.fingerprint;
-        report.cleared = true;
-        actions.reports.push_back(std::move(report));
+    if (end == call_end::succeeded && size() > 0) {
+        const std::optional<std::uint32_t> blocks = clear(ended.fingerprint, now);
+        if (blocks) {
+            crash_report report;
+            report.fingerprint = ended.fingerprint;
+            report.crashes = *blocks == 0 ? 0 : *blocks + 1;
+            report.cleared = true;
+            actions.reports.push_back(std::move(report));
+        }
     }
     release(actions, now);
     return actions;
@@ -325,7 +371,8 @@
         if (unanswered_.size() >= options_.max_unanswered) {
             unanswered_.pop_front();
         }
-        unanswered_.push_back({ended.fingerprint, ended.holds_suspect_slot, false, runs_until});
+        unanswered_.push_back(
+            {{ended.fingerprint, ended.holds_suspect_slot, ended.started_at}, false, runs_until});
     }
     release(actions, now);
     return actions;
@@ -338,7 +385,8 @@
         call& candidate = each.second;
         if (candidate.running && !candidate.in_counted_crash) {
             candidate.in_counted_crash = true;
-            result.push_back({candidate.fingerprint, candidate.holds_suspect_slot});
+            result.push_back(
+                {candidate.fingerprint, candidate.holds_suspect_slot, candidate.started_at});
         }
     }
     return result;
@@ -351,48 +399,81 @@
         const milliseconds retention =
             each.upstream_responded ? options_.restart_notice : options_.unanswered_retention;
         if (now - each.runs_until <= retention) {
-            // A suspect that the upstream outlived is not the one that identifies the crash.
-            result.push_back(
-                {each.fingerprint, each.held_suspect_slot && !each.upstream_responded});
+            result.push_back(each.run);
+            // A suspect that the upstream outlived does not identify the crash.
+            result.back().held_suspect_slot &= !each.upstream_responded;
         }
     }
     unanswered_.clear();
     return result;
 }
 
-std::uint32_t crash_guard::crashes_including_now(std::uint64_t fingerprint, time_point now) const
+void crash_guard::count_crash(std::uint64_t fingerprint,
+                              std::map<std::uint32_t, crash_report>& suspects_by_crashes,
+                              guard_actions& actions, time_point now)
+{
+    const crash_count before = crashes_of(fingerprint, now);
+    if (before.decided) {
+        return;
+    }
+    make_suspect(fingerprint, before.crashes + 1, now);
+    if (crashes_of(fingerprint, now).separate >= options_.max_separate_crashes) {
+        actions.reports.push_back(block(fingerprint, now));
+        return;
+    }
+    crash_report& report = suspects_by_crashes[before.crashes + 1];
+    report.crashes = before.crashes + 1;
+    report.suspects.push_back(fingerprint);
+}
+
+crash_guard::crash_count crash_guard::crashes_of(std::uint64_t fingerprint, time_point now) const
 {
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
     if (found == owning_shard.entries.end() ||
         current_state(found->second, now).state == suspicion::none) {
-        return 1;
+        return {};
     }
-    const bool same_crash = now - found->second.last_crash <= options_.crash_window;
-    return found->second.crashes + (same_crash ? 0 : 1);
+    return {found->second.crashes, found->second.separate_crashes,
+            !is_undecided(found->second, now)};
+}
+
+bool crash_guard::identifies_crash(const call_in_flight& candidate, time_point earliest_start,
+                                   time_point now) const
+{
+    const time_point silent_since = std::max(last_response_, earliest_start);
+    const bool upstream_was_silent = candidate.started_at - silent_since > options_.max_silence;
+    return candidate.held_suspect_slot && !upstream_was_silent &&
+           is_undecided(candidate.fingerprint, now);
 }
 
 void crash_guard::attribute_crash(const std::vector<call_in_flight>& in_flight,
                                   guard_actions& actions, time_point now)
 {
-    const auto is_sole_suspect = [this, now](const call_in_flight& each) {
-        return each.held_suspect_slot && check(each.fingerprint, now).state == suspicion::suspect;
-    };
-    const bool identified = std::count_if(in_flight.begin(), in_flight.end(), is_sole_suspect) == 1;
-    std::map<std::uint32_t, crash_report> suspects_by_crashes;
+    time_point earliest_start = time_point::max();
     for (const call_in_flight& each : in_flight) {
-        if (check(each.fingerprint, now).state == suspicion::blocked) {
-            continue;
+        earliest_start = std::min(earliest_start, each.started_at);
+    }
+    // The one suspect that may have caused the crash, or the one that was in flight at most.
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> candidates;
+    for (const call_in_flight& each : in_flight) {
+        if (identifies_crash(each, earliest_start, now)) {
+            candidates.emplace_back(crashes_of(each.fingerprint, now).crashes, each.fingerprint);
         }
-        const std::uint32_t crashes = crashes_including_now(each.fingerprint, now);
-        if ((identified && is_sole_suspect(each)) || crashes >= options_.max_crashes) {
+    }
+    std::sort(candidates.rbegin(), candidates.rend());
+    const bool identified = candidates.size() == 1 ||
+                            (candidates.size() > 1 && candidates[0].first > candidates[1].first);
+    std::map<std::uint32_t, crash_report> suspects_by_crashes;
+    absl::flat_hash_set<std::uint64_t> counted;
+    for (const call_in_flight& each : in_flight) {
+        if (identified && each.fingerprint == candidates[0].second &&
+            !crashes_of(each.fingerprint, now).decided) {
             actions.reports.push_back(block(each.fingerprint, now));
         }
-        else if (make_suspect(each.fingerprint, crashes, now)) {
-            crash_report& report = suspects_by_crashes[crashes];
-            report.crashes = crashes;
-            report.suspects.push_back(each.fingerprint);
+        else if (counted.insert(each.fingerprint).second) {
+            count_crash(each.fingerprint, suspects_by_crashes, actions, now);
         }
     }
     for (std::pair<const std::uint32_t, crash_report>& each : suspects_by_crashes) {
@@ -408,11 +489,7 @@
     if (found == calls_.end()) {
         return actions;
     }
-    const bool same_crash =
-        found->second.in_counted_crash && now - last_crash_ <= options_.crash_window;
-    if (!same_crash) {
-        found->second.in_counted_crash = false;
-        last_crash_ = now;
+    if (!found->second.in_counted_crash) {
         actions.crash_counted = true;
         std::vector<call_in_flight> in_flight = take_running();
         const std::vector<call_in_flight> unanswered = take_unanswered(now);
@@ -447,7 +524,6 @@
     in_flight.insert(in_flight.end(), unanswered.begin(), unanswered.end());
     attribute_crash(in_flight, actions, now);
     if (!actions.reports.empty()) {
-        last_crash_ = now;
         actions.crash_counted = true;
     }
     release(actions, now);
@@ -457,11 +533,11 @@
 bool crash_guard::receive(const crash_report& report, time_point now)
 {
     if (report.cleared) {
-        return clear(report.fingerprint, now);
+        return clear(report.fingerprint, now).has_value();
     }
     bool changed = false;
     if (report.blocked_for.count() > 0) {
-        const std::uint32_t blocks = std::max(report.crashes, 2U) - 1;
+        const std::uint32_t blocks = std::max(report.crashes, 1U) - 1;
         changed = block_until(report.fingerprint, blocks,
                               std::min(report.blocked_for, options_.max_block), now);
     }
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -153,6 +153,9 @@
         hold(entry);
         return;
     }
+    if (entry.trial) {
+        owner_->publish_crashes({*entry.trial});
+    }
     const milliseconds time_left = duration_cast<milliseconds>(deadline_ - now);
     stage_ = stage::running;
     forwarded_ = now;
--- a/src/inbound_call.cpp
+++ b/src/inbound_call.cpp
@@ -154,6 +154,9 @@
         release_slot(decision);
         return;
     }
+    if (decision.trial && owner_->hooks.report) {
+        owner_->hooks.report(*decision.trial);
+    }
     stage_ = stage::forwarded;
     forwarded_at_ = now;
     upstream_ = std::atomic_load(&owner_->upstream);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -512,9 +512,13 @@
         counters.crash_blocks.add(report.blocked_for.count() > 0 ? 1 : 0);
         log_crash_report(report, settings.node);
         crash_state.add(report, loop.now());
-        if (report.blocked_for.count() > 0) {
+        const bool counts_block = report.crashes > 1;
+        if (report.blocked_for.count() > 0 && counts_block) {
             blocks.store(report);
         }
+        else if (report.cleared && counts_block) {
+            blocks.remove(report.fingerprint);
+        }
     }
     if (!new_reports.empty()) {
         send_report();
--- /dev/null
+++ b/test/crash_model-test.cpp
@@ -0,0 +1,114 @@
+#include "crash_model.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using test::crash_ending;
+using test::crash_model;
+using test::crash_model_options;
+
+// The users allow three retries later than this after the third crash.
+constexpr seconds settle_time{3};
+constexpr std::size_t max_late_crashes = 3;
+
+// A refusal of a harmless request that lasts longer counts as minutes.
+constexpr milliseconds max_refusal = minutes(1);
+
+constexpr std::uint64_t seeds = 20;
+
+void expect_bounded(crash_model_options options, const char* name)
+{
+    std::size_t most = 0;
+    std::size_t most_late = 0;
+    milliseconds longest{0};
+    for (const crash_ending ending :
+         {crash_ending::closes_connections, crash_ending::goes_silent, crash_ending::caller_left}) {
+        for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+            options.ending = ending;
+            crash_model model(options);
+            model.run_for(minutes(5));
+            EXPECT_LE(model.late_crashes(settle_time), max_late_crashes)
+                << name << ", ending " << static_cast<int>(ending) << ", seed " << options.seed;
+            EXPECT_LE(model.longest_refusal(), max_refusal)
+                << name << ", ending " << static_cast<int>(ending) << ", seed " << options.seed;
+            most = std::max(most, model.crash_times().size());
+            most_late = std::max(most_late, model.late_crashes(settle_time));
+            longest = std::max(longest, model.longest_refusal());
+        }
+    }
+    std::cout << name << ": at most " << most << " crashes, " << most_late
+              << " late; longest refusal of a harmless request " << longest.count() << " ms\n";
+}
+
+crash_model_options repeated_crash(milliseconds period)
+{
+    crash_model_options options;
+    options.crash_period = period;
+    return options;
+}
+
+} // namespace
+
+TEST(crash_model, crashing_request_is_blocked)
+{
+    expect_bounded(repeated_crash(seconds(1)), "every second");
+    expect_bounded(repeated_crash(milliseconds(100)), "ten times a second");
+}
+
+TEST(crash_model, restarts_of_nodes_do_not_release_the_crashing_request)
+{
+    crash_model_options options = repeated_crash(milliseconds(500));
+    options.node_restart_period = seconds(4);
+    expect_bounded(options, "restarts of nodes");
+}
+
+TEST(crash_model, restarts_of_all_nodes_do_not_release_the_crashing_request)
+{
+    crash_model_options options = repeated_crash(milliseconds(500));
+    options.all_nodes_restart_period = seconds(20);
+    expect_bounded(options, "restarts of all nodes");
+}
+
+TEST(crash_model, server_errors_do_not_release_the_crashing_request)
+{
+    crash_model_options options = repeated_crash(milliseconds(500));
+    options.server_error_ratio = 0.3;
+    expect_bounded(options, "server errors");
+}
+
+// Guards against harmless requests that are refused because of crashes that they did not cause.
+TEST(crash_model, harmless_requests_are_not_refused_after_unrelated_crashes)
+{
+    crash_model_options options;
+    options.upstream_kill_period = seconds(5);
+    options.killed_upstreams = 2;
+    expect_bounded(options, "kills of two upstreams");
+    options.upstream_kill_period = seconds(6);
+    options.killed_upstreams = 4;
+    expect_bounded(options, "kills of four upstreams");
+    options.upstream_kill_period = seconds(7);
+    options.killed_upstreams = 2;
+    options.release_period = seconds(3);
+    options.node_restart_period = seconds(5);
+    expect_bounded(options, "kills, releases and restarts");
+}
+
+TEST(crash_model, harmless_requests_are_not_refused_beside_a_crashing_one)
+{
+    crash_model_options options = repeated_crash(milliseconds(300));
+    options.upstream_kill_period = seconds(6);
+    options.killed_upstreams = 2;
+    options.release_period = seconds(7);
+    options.node_restart_period = seconds(5);
+    expect_bounded(options, "all faults");
+}
+
+} // namespace agatespread
--- /dev/null
+++ b/test/crash_model.cpp
@@ -0,0 +1,401 @@
+#include "crash_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatespread::test {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t crashing_request = 1U << 20U;
+
+constexpr std::ptrdiff_t slots = 9; // Of each upstream.
+constexpr milliseconds network_delay{5};
+constexpr milliseconds time_to_crash{10};
+constexpr milliseconds mean_service_time{90};
+constexpr milliseconds request_timeout{2000};
+constexpr milliseconds silence_timeout{1000};
+constexpr milliseconds probe_timeout{500};
+constexpr milliseconds upstream_restart_time{4000};
+constexpr milliseconds node_restart_time{1000};
+constexpr milliseconds heartbeat_delay{200};
+constexpr milliseconds share_period{250};
+constexpr milliseconds drain_time{2500};
+
+} // namespace
+
+crash_model::crash_model(const crash_model_options& options)
+    : options_(options), engine_(options.seed), nodes_(options.nodes)
+{
+    for (std::size_t rank = 1; rank <= options.distinct_requests; ++rank) {
+        weights_.push_back(1.0 / static_cast<double>(rank));
+    }
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        start_node(index);
+    }
+    every(options.crash_period, [this] { send(crashing_request); });
+    every(options.node_restart_period, [this] { stop_node(below(nodes_.size())); });
+    every(options.all_nodes_restart_period, [this] {
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            stop_node(index);
+        }
+    });
+    every(options.upstream_kill_period, [this] {
+        for (std::size_t count = 0; count < options_.killed_upstreams; ++count) {
+            end_upstream(below(nodes_.size()), true, false);
+        }
+    });
+    every(options.release_period, [this] {
+        const std::size_t index = below(nodes_.size());
+        nodes_[index].gate_open = false;
+        queue_.after(drain_time, [this, index] { end_upstream(index, true, true); });
+    });
+    every(milliseconds(static_cast<int>(1000 / options.requests_per_second)),
+          [this] { send_harmless(); });
+    every(share_period, [this] {
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            if (nodes_[index].up) {
+                send_reports(index, below(nodes_.size()),
+                             nodes_[index].sharing->next_page(queue_.now()));
+            }
+        }
+    });
+}
+
+bool crash_model::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(engine_) < probability;
+}
+
+std::size_t crash_model::below(std::size_t limit)
+{
+    return std::uniform_int_distribution<std::size_t>(0, limit - 1)(engine_);
+}
+
+void crash_model::every(milliseconds period, std::function<void()> call)
+{
+    if (period.count() > 0) {
+        queue_.after(period, [this, period, call = std::move(call)] {
+            call();
+            every(period, call);
+        });
+    }
+}
+
+void crash_model::start_node(std::size_t index)
+{
+    model_node& node = nodes_[index];
+    node.guard = std::make_unique<crash_guard>(crash_guard_options());
+    node.sharing =
+        std::make_unique<detail::crash_sharing>(*node.guard, detail::crash_sharing_options());
+    node.up = true;
+    node.gate_open = node.upstream_up;
+    ++node.process;
+    for (const auto& each : stored_blocks_) {
+        crash_report block = each.second.first;
+        block.blocked_for = std::max(duration_cast<milliseconds>(each.second.second - queue_.now()),
+                                     milliseconds(1));
+        node.guard->receive(block, queue_.now());
+    }
+}
+
+void crash_model::stop_node(std::size_t index)
+{
+    model_node& node = nodes_[index];
+    if (!node.up) {
+        return;
+    }
+    node.up = false;
+    node.calls.clear();
+    queue_.after(node_restart_time, [this, index] { start_node(index); });
+}
+
+void crash_model::send_harmless()
+{
+    ++harmless_sent_;
+    send(std::discrete_distribution<std::uint64_t>(weights_.begin(), weights_.end())(engine_));
+}
+
+void crash_model::send(std::uint64_t fingerprint)
+{
+    const model_node& caller = nodes_[below(nodes_.size())];
+    if (!caller.up) {
+        return;
+    }
+    const guard_check known = caller.guard->check(fingerprint, queue_.now());
+    if (known.state == suspicion::blocked) {
+        record_refusal(fingerprint);
+        return;
+    }
+    std::vector<std::size_t> gates;
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        if (nodes_[index].up && nodes_[index].gate_open) {
+            gates.push_back(index);
+        }
+    }
+    if (gates.empty()) {
+        return;
+    }
+    const std::size_t gate = gates[below(gates.size())];
+    queue_.after(network_delay,
+                 [this, gate, fingerprint, suspect = known.state == suspicion::suspect] {
+                     deliver(gate, fingerprint, suspect);
+                 });
+}
+
+void crash_model::deliver(std::size_t gate, std::uint64_t fingerprint, bool suspect)
+{
+    model_node& node = nodes_[gate];
+    if (!node.up || !node.gate_open) {
+        return;
+    }
+    const std::uint64_t id = ++next_id_;
+    const time_point now = queue_.now();
+    node.calls[id] = {fingerprint, 0, now + request_timeout, false};
+    queue_.after(request_timeout, [this, gate, id] { end_at_deadline(gate, id); });
+    queue_.after(silence_timeout, [this, gate, process = node.process] {
+        queue_.after(probe_timeout, [this, gate, process] { end_running(gate, process); });
+    });
+    const guard_decision entry = node.guard->enter(id, fingerprint, suspect, now);
+    if (entry.verdict == guard_verdict::pass) {
+        start_call(gate, id);
+    }
+    else if (entry.verdict == guard_verdict::refuse) {
+        node.calls.erase(id);
+        record_refusal(fingerprint);
+    }
+}
+
+void crash_model::start_call(std::size_t gate, std::uint64_t id)
+{
+    model_node& node = nodes_[gate];
+    const auto found = node.calls.find(id);
+    if (found == node.calls.end()) {
+        return;
+    }
+    const auto is_running = [](const std::pair<const std::uint64_t, model_call>& each) {
+        return each.second.running;
+    };
+    const std::ptrdiff_t running = std::count_if(node.calls.begin(), node.calls.end(), is_running);
+    if (!node.gate_open || running >= slots) {
+        node.calls.erase(found);
+        apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
+        return;
+    }
+    const guard_decision entry = node.guard->try_start(id, queue_.now());
+    if (entry.verdict == guard_verdict::refuse) {
+        record_refusal(found->second.fingerprint);
+        node.calls.erase(found);
+    }
+    if (entry.verdict != guard_verdict::pass) {
+        return;
+    }
+    if (entry.trial) {
+        guard_actions trial;
+        trial.reports.push_back(*entry.trial);
+        apply(gate, trial);
+    }
+    found->second.running = true;
+    found->second.upstream_incarnation = node.upstream_incarnation;
+    if (!node.upstream_up) {
+        return; // Stays without an answer until its deadline.
+    }
+    const bool fails = chance(options_.server_error_ratio);
+    if (found->second.fingerprint == crashing_request && !fails) {
+        run_crashing(gate, id);
+    }
+    else {
+        run_to_response(gate, id, fails);
+    }
+}
+
+void crash_model::run_crashing(std::size_t gate, std::uint64_t id)
+{
+    crash_times_.push_back(queue_.now());
+    if (options_.ending == crash_ending::caller_left) {
+        const model_call call = nodes_[gate].calls.at(id);
+        nodes_[gate].calls.erase(id);
+        apply(gate, nodes_[gate].guard->leave_unanswered(id, call.deadline, queue_.now()));
+    }
+    queue_.after(time_to_crash, [this, gate, incarnation = nodes_[gate].upstream_incarnation] {
+        if (nodes_[gate].upstream_incarnation == incarnation) {
+            end_upstream(gate, options_.ending == crash_ending::closes_connections, false);
+        }
+    });
+}
+
+void crash_model::run_to_response(std::size_t gate, std::uint64_t id, bool failed)
+{
+    std::exponential_distribution<double> service_time(1.0 / mean_service_time.count());
+    const milliseconds taken(static_cast<int>(service_time(engine_)));
+    queue_.after(failed ? milliseconds(1) : taken, [this, gate, id, failed] {
+        model_node& node = nodes_[gate];
+        const auto found = node.calls.find(id);
+        if (found == node.calls.end() ||
+            found->second.upstream_incarnation != node.upstream_incarnation || !node.upstream_up) {
+            return;
+        }
+        const std::uint64_t fingerprint = found->second.fingerprint;
+        node.calls.erase(found);
+        if (!failed) {
+            record_success(fingerprint);
+        }
+        apply(gate, node.guard->leave(id, failed ? call_end::responded : call_end::succeeded,
+                                      queue_.now()));
+    });
+}
+
+void crash_model::end_at_deadline(std::size_t gate, std::uint64_t id)
+{
+    model_node& node = nodes_[gate];
+    const auto found = node.calls.find(id);
+    if (found == node.calls.end()) {
+        return;
+    }
+    const model_call call = found->second;
+    node.calls.erase(found);
+    if (!call.running) {
+        apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
+        return;
+    }
+    queue_.after(node.upstream_up ? milliseconds(0) : probe_timeout, [this, gate, id, call,
+                                                                      process = node.process] {
+        model_node& later = nodes_[gate];
+        if (later.process != process || !later.up) {
+            return;
+        }
+        if (later.upstream_up) {
+            apply(gate, later.guard->leave_unanswered(id, call.deadline, queue_.now()));
+            return;
+        }
+        later.gate_open = false;
+        apply(gate, later.guard->crashed(id, queue_.now()));
+    });
+}
+
+void crash_model::end_running(std::size_t index, std::uint64_t process)
+{
+    model_node& node = nodes_[index];
+    if (node.upstream_up || !node.up || node.process != process) {
+        return;
+    }
+    node.gate_open = false;
+    std::vector<std::uint64_t> lost;
+    for (const std::pair<const std::uint64_t, model_call>& each : node.calls) {
+        if (each.second.running) {
+            lost.push_back(each.first);
+        }
+    }
+    for (const std::uint64_t id : lost) {
+        node.calls.erase(id);
+        apply(index, node.guard->crashed(id, queue_.now()));
+    }
+}
+
+void crash_model::end_upstream(std::size_t index, bool closes_connections, bool announced)
+{
+    model_node& node = nodes_[index];
+    if (!node.upstream_up) {
+        return;
+    }
+    node.upstream_up = false;
+    node.exit_announced = announced;
+    if (closes_connections) {
+        end_running(index, node.process);
+    }
+    queue_.after(upstream_restart_time, [this, index] {
+        model_node& restarted = nodes_[index];
+        restarted.upstream_up = true;
+        ++restarted.upstream_incarnation;
+        queue_.after(heartbeat_delay, [this, index, process = restarted.process] {
+            model_node& later = nodes_[index];
+            later.gate_open = later.up;
+            if (later.up && later.process == process) {
+                apply(index, later.guard->upstream_replaced(later.exit_announced, queue_.now()));
+            }
+        });
+    });
+}
+
+void crash_model::apply(std::size_t index, const guard_actions& actions)
+{
+    model_node& node = nodes_[index];
+    for (const crash_report& report : actions.reports) {
+        node.sharing->add(report, queue_.now());
+        if (report.cleared) {
+            stored_blocks_.erase(report.fingerprint);
+        }
+        if (report.blocked_for.count() > 0 && report.crashes > 1) {
+            stored_blocks_[report.fingerprint] = {report, queue_.now() + report.blocked_for};
+        }
+    }
+    if (!actions.reports.empty()) {
+        for (std::size_t to = 0; to < nodes_.size(); ++to) {
+            send_reports(index, to, actions.reports);
+        }
+    }
+    for (const std::uint64_t id : actions.refuse) {
+        const auto found = node.calls.find(id);
+        if (found != node.calls.end()) {
+            record_refusal(found->second.fingerprint);
+            node.calls.erase(found);
+        }
+    }
+    for (const std::uint64_t id : actions.pass) {
+        start_call(index, id);
+    }
+}
+
+void crash_model::send_reports(std::size_t from, std::size_t to, std::vector<crash_report> reports)
+{
+    if (from == to || reports.empty() || chance(options_.report_loss)) {
+        return;
+    }
+    queue_.after(network_delay, [this, to, reports = std::move(reports)] {
+        if (nodes_[to].up) {
+            for (const crash_report& report : reports) {
+                nodes_[to].guard->receive(report, queue_.now());
+            }
+        }
+    });
+}
+
+void crash_model::record_refusal(std::uint64_t fingerprint)
+{
+    if (fingerprint == crashing_request) {
+        return;
+    }
+    ++harmless_refused_;
+    refusal_span& span = refusals_[fingerprint];
+    if (!std::exchange(span.refusing, true)) {
+        span.since = queue_.now();
+    }
+    longest_refusal_ =
+        std::max<std::chrono::nanoseconds>(longest_refusal_, queue_.now() - span.since);
+}
+
+void crash_model::record_success(std::uint64_t fingerprint)
+{
+    refusals_[fingerprint].refusing = false;
+}
+
+std::size_t crash_model::late_crashes(milliseconds settle_time) const
+{
+    if (crash_times_.size() < 3) {
+        return 0;
+    }
+    const time_point settled = crash_times_[2] + settle_time;
+    return static_cast<std::size_t>(
+        std::count_if(crash_times_.begin(), crash_times_.end(),
+                      [settled](time_point each) { return each > settled; }));
+}
+
+milliseconds crash_model::longest_refusal() const
+{
+    return duration_cast<milliseconds>(longest_refusal_);
+}
+
+} // namespace agatespread::test
