sidecar: detect an upstream that went dark before the deadline of its requests

Callers waited until their deadline for an upstream that had ended without closing its connections, and the guard learned of the crash only then. Cause: the gate looked at the upstream only after a call had ended. Change: a request that has run for 1 s while the upstream sent nothing probes it with a connection; if none is established within 0.5 s, all running requests end as crashed, so that callers can repeat or fail them at once. The probe waits for a queued handler before it reports a failure, as the loop may have been late.

--- a/src/connect_probe.cpp
+++ b/src/connect_probe.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-struct probe {
+constexpr std::chrono::milliseconds late_handler_grace{20};
+
+struct probe : std::enable_shared_from_this<probe> {
     explicit probe(asio::io_context& context) : socket(context), timer(context) {}
 
     void end(bool connected)
@@ -27,6 +29,18 @@
         }
     }
 
+    /// Ends the probe as not connected, unless the connection was established while the loop was
+    /// late and its handler is still queued.
+    void end_after_grace()
+    {
+        timer.expires_after(late_handler_grace);
+        timer.async_wait([state = shared_from_this()](const asio::error_code& error) {
+            if (!error) {
+                state->end(false);
+            }
+        });
+    }
+
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     std::function<void(bool)> done;
@@ -48,7 +62,7 @@
     state->timer.expires_after(timeout);
     state->timer.async_wait([state](const asio::error_code& error) {
         if (!error) {
-            state->end(false);
+            state->end_after_grace();
         }
     });
     state->socket.async_connect(*endpoint,
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -23,6 +23,9 @@
 // The upstream is on the same host; a connection that is not established by then never will be.
 constexpr milliseconds upstream_connect_timeout{500};
 
+// An upstream that has sent nothing for this time since it got a request is probed.
+constexpr milliseconds silence_timeout = std::chrono::seconds(1);
+
 } // namespace
 
 gate_request::gate_request(std::shared_ptr<sidecar::impl> owner, std::uint64_t id,
@@ -172,6 +175,11 @@
     call.accept_head = [self = shared_from_this()](const http_response& head) {
         return self->accepts_head(head);
     };
+    silence_timer_ = owner_->loop.after(silence_timeout, [weak = weak_from_this()](time_point) {
+        if (const std::shared_ptr<gate_request> self = weak.lock()) {
+            self->check_silence();
+        }
+    });
     upstream_call_ =
         owner_->client.send(std::move(call), [self = shared_from_this()](http_result result) {
             self->on_upstream_result(std::move(result));
@@ -239,6 +247,30 @@
     }
 }
 
+void gate_request::check_silence()
+{
+    if (stage_ != stage::running || owner_->upstream_responded_at >= forwarded_ ||
+        owner_->probing_upstream) {
+        return;
+    }
+    owner_->probing_upstream = true;
+    probe_connection(owner_->loop, owner_->settings.upstream_address, upstream_connect_timeout,
+                     [owner = owner_](bool connected) {
+                         owner->probing_upstream = false;
+                         if (!connected) {
+                             owner->end_running_requests();
+                         }
+                     });
+}
+
+void gate_request::end_with_upstream()
+{
+    if (stage_ == stage::running) {
+        finish_lost_request(true, "silent");
+        owner_->client.cancel(upstream_call_);
+    }
+}
+
 void gate_request::on_upstream_lost(const http_result& result)
 {
     owner_->failures.add(true, owner_->loop.now());
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -42,6 +42,9 @@
     /// Refuses the request if the crash guard still holds it shortly before its deadline.
     void expire(time_point now);
 
+    /// Ends the request, if it is running, because its upstream was found to have ended.
+    void end_with_upstream();
+
     /// Refuses the request at the shutdown timeout of the node unless it is already running.
     void stop();
 
@@ -53,6 +56,7 @@
     void on_upstream_result(http_result result);
     void on_upstream_response(http_result result);
     void on_upstream_lost(const http_result& result);
+    void check_silence();
     void finish_lost_request(bool crashed, const std::string& error);
 
     /// Ends a call whose caller waits no longer; a silent upstream is probed first.
@@ -75,6 +79,7 @@
     std::string instance_;
     stage stage_ = stage::held;
     http_client::call_id upstream_call_ = 0;
+    subscription silence_timer_;
 };
 
 } // namespace agatespread::detail
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -692,11 +692,7 @@
     gate_timer = loop.after(gate_check_period, [this](time_point now) {
         gate_check_scheduled = false;
         apply(gate.expire(now));
-        std::vector<std::shared_ptr<detail::gate_request>> waiting;
-        waiting.reserve(gate_requests.size());
-        for (const auto& each : gate_requests) {
-            waiting.push_back(each.second);
-        }
+        const std::vector<std::shared_ptr<detail::gate_request>> waiting = copy_gate_requests();
         for (const std::shared_ptr<detail::gate_request>& request : waiting) {
             request->expire(now);
         }
@@ -766,15 +762,28 @@
     return longest;
 }
 
+std::vector<std::shared_ptr<detail::gate_request>> sidecar::impl::copy_gate_requests() const
+{
+    std::vector<std::shared_ptr<detail::gate_request>> result;
+    result.reserve(gate_requests.size());
+    for (const auto& each : gate_requests) {
+        result.push_back(each.second);
+    }
+    return result;
+}
+
+void sidecar::impl::end_running_requests()
+{
+    for (const std::shared_ptr<detail::gate_request>& request : copy_gate_requests()) {
+        request->end_with_upstream();
+    }
+}
+
 void sidecar::impl::abort_all_requests()
 {
     // Queued requests are ended first; otherwise they would get the slots of ended ones. The copy
     // is needed because ending a request removes it from its container.
-    std::vector<std::shared_ptr<detail::gate_request>> at_gate;
-    at_gate.reserve(gate_requests.size());
-    for (const auto& each : gate_requests) {
-        at_gate.push_back(each.second);
-    }
+    const std::vector<std::shared_ptr<detail::gate_request>> at_gate = copy_gate_requests();
     for (const std::shared_ptr<detail::gate_request>& request : at_gate) {
         request->stop();
     }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -110,6 +110,8 @@
     void serve_peer(const std::shared_ptr<http_exchange>& exchange);
     void check_shutdown(time_point now, const std::function<void()>& done);
     void abort_all_requests();
+    void end_running_requests();
+    std::vector<std::shared_ptr<detail::gate_request>> copy_gate_requests() const;
 
     detail::rule_series& series_for(const std::string& rule);
 
@@ -142,6 +144,7 @@
     upstream_lifecycle upstream;
     failure_rate failures;            ///< Failure rate of the upstream on this host.
     time_point upstream_responded_at; ///< The last response of the upstream on this host.
+    bool probing_upstream = false;
 
     http_client client; ///< Connects to other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
--- a/test/sidecar-crash-test.cpp
+++ b/test/sidecar-crash-test.cpp
@@ -27,6 +27,7 @@
     quick_restart,      ///< The connection is closed, but a new process already listens.
     response_cut,       ///< As `connection_refused`, in the middle of the response.
     silent,             ///< It neither responds nor closes the connection.
+    dark,               ///< As `silent`, and it accepts no connections.
     server_error        ///< It does not end, but responds with 500.
 };
 
@@ -82,7 +83,10 @@
             return;
         }
         ++target.ended;
-        if (target.how == ending::silent) {
+        if (target.how == ending::dark) {
+            target.process->stop_listening();
+        }
+        if (target.how == ending::silent || target.how == ending::dark) {
             char byte = 0;
             asio::error_code closed;
             socket.read_some(asio::buffer(&byte, 1), closed);
@@ -208,6 +212,17 @@
     send_repeatedly(ending::silent);
 }
 
+// Guards against callers that wait until their deadline for an upstream that has ended.
+TEST_F(sidecar_crash, dark_upstream_is_detected_before_the_deadline)
+{
+    configure("2 4000 once rounds");
+    start_host(a, "a", "rounds");
+    a.how = ending::dark;
+    const time_point start = std::chrono::steady_clock::now();
+    EXPECT_EQ(send_crash(a), 502);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(4000));
+}
+
 // Guards against callers that disconnect before the upstream is known to have ended.
 TEST_F(sidecar_crash, request_is_blocked_after_its_callers_disconnected)
 {
