crash guard: two runs of one suspect on an upstream identify the crash

Cause: the runs of one fingerprint counted as two suspects, so that a request that came twice while its upstream was silent was not blocked. Unanswered calls were also kept, and walked at each response, after they could count no longer. Change: candidates are distinct fingerprints; expired unanswered calls are dropped. Measured: crash_guard.crash_with_two_unanswered_runs_of_one_suspect_blocks_it failed on the code before (state suspect).

--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -327,6 +327,10 @@
 void crash_guard::record_response(time_point now)
 {
     last_response_ = now;
+    while (!unanswered_.empty() &&
+           now - unanswered_.front().runs_until > options_.unanswered_retention) {
+        unanswered_.pop_front();
+    }
     for (unanswered_call& each : unanswered_) {
         each.upstream_responded = each.upstream_responded || each.runs_until <= now;
     }
@@ -463,6 +467,7 @@
         }
     }
     std::sort(candidates.rbegin(), candidates.rend());
+    candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
     const bool identified = candidates.size() == 1 ||
                             (candidates.size() > 1 && candidates[0].first > candidates[1].first);
     std::map<std::uint32_t, crash_report> suspects_by_crashes;
--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -187,6 +187,18 @@
     EXPECT_EQ(guard.check(8, crash).state, suspicion::suspect);
 }
 
+// Guards against two runs of one request on a silent upstream that count as two suspects.
+TEST(crash_guard, crash_with_two_unanswered_runs_of_one_suspect_blocks_it)
+{
+    crash_guard guard({});
+    guard.suspect(7, start);
+    const time_point crash = start + seconds(5);
+    run_unanswered(guard, 1, 7, crash);
+    run_unanswered(guard, 2, 7, crash);
+    guard.upstream_replaced(false, crash);
+    EXPECT_EQ(guard.check(7, crash).state, suspicion::blocked);
+}
+
 // Guards against a request that always crashes its upstream beside another suspect.
 TEST(crash_guard, fingerprint_in_flight_at_three_crashes_without_a_success_is_blocked)
 {
