--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -220,6 +220,48 @@
     thread.call([&held] { held.reset(); });
 }
 
+// Guards against a node that reads a response without end until its memory or the deadline is used
+// up.
+TEST_F(sidecar_test, endless_heads_and_bodies_are_cut_off)
+{
+    constexpr std::size_t max_response_bytes = 64U << 20U;
+    constexpr std::size_t socket_buffers = 16U << 20U;
+    for (const bool in_head : {true, false}) {
+        std::atomic<std::size_t> sent{0};
+        std::atomic<bool> closed{false};
+        raw_upstream endless([&](asio::ip::tcp::socket& socket, int) {
+            std::string head;
+            asio::error_code error;
+            asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+            if (head.find("/x/") == std::string::npos) {
+                return;
+            }
+            raw_upstream::write(socket,
+                                std::string("HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n") +
+                                    (in_head ? "" : "\r\n"));
+            const std::string part =
+                in_head ? "Field: " + std::string(1000, 'x') + "\r\n" : std::string(1U << 16U, 'x');
+            while (!error) {
+                sent += asio::write(socket, asio::buffer(part), error);
+            }
+            closed = true;
+        });
+        start(first, "a", "rounds", endless.address());
+        configure("1 10000 once rounds");
+        ASSERT_TRUE(eventually_ready(first));
+        send_heartbeat(first);
+        const time_point start_time = std::chrono::steady_clock::now();
+        EXPECT_EQ(send(first, "1").response.status, 502);
+        EXPECT_LT(std::chrono::steady_clock::now() - start_time, std::chrono::seconds(10));
+        EXPECT_TRUE(thread.eventually([&closed] { return closed.load(); }));
+        EXPECT_LT(sent, (in_head ? 0 : max_response_bytes) + socket_buffers);
+        thread.call([this] {
+            first.node.reset();
+            first.upstream.reset();
+        });
+    }
+}
+
 // Guards against a shutdown that aborts a request in flight, and against one that never completes.
 TEST_F(sidecar_test, shutdown_completes_requests_in_flight)
 {
