sidecar: list the fingerprints of a crash report without iterator arithmetic

The list is cut before it is joined; the lines are the same. A test bounds a full page of crash reports to one packet (1,400 bytes); it passes.

--- a/src/sidecar_crash.cpp
+++ b/src/sidecar_crash.cpp
@@ -39,14 +39,13 @@
     if (report.cleared || blocked) {
         fingerprints.push_back(report.fingerprint);
     }
-    const std::size_t listed = std::min(fingerprints.size(), max_logged_fingerprints);
-    log.change("crash_report",
-               {{"from", from},
-                {"state", state},
-                {"fingerprints", fmt::format("{}", fmt::join(fingerprints.begin(),
-                                                             fingerprints.begin() + listed, ","))},
-                {"count", static_cast<std::uint64_t>(fingerprints.size())},
-                {"blocked_for", report.blocked_for}});
+    const std::uint64_t count = fingerprints.size();
+    fingerprints.resize(std::min(fingerprints.size(), max_logged_fingerprints));
+    log.change("crash_report", {{"from", from},
+                                {"state", state},
+                                {"fingerprints", fmt::format("{}", fmt::join(fingerprints, ","))},
+                                {"count", count},
+                                {"blocked_for", report.blocked_for}});
     counters.crash_fingerprints.set(static_cast<std::int64_t>(guard.size()));
 }
 
--- a/test/crash_sharing-test.cpp
+++ b/test/crash_sharing-test.cpp
@@ -1,5 +1,7 @@
 #include "crash_sharing.h"
 
+#include <agatespread/peers.h>
+
 #include <gtest/gtest.h>
 
 #include <set>
@@ -107,6 +109,26 @@
     EXPECT_EQ(seen.size(), 100U);
 }
 
+// Guards against a page that is split into fragments, of which the loss of any one loses all.
+TEST(crash_sharing, report_with_a_full_page_fits_into_one_packet)
+{
+    constexpr std::size_t max_datagram_bytes = 1400;
+    constexpr std::uint64_t first_fingerprint = 1ULL << 63U; // The longest encoding.
+    crash_guard guard({});
+    for (std::uint64_t offset = 0; offset < 100; ++offset) {
+        guard.confirm(first_fingerprint + offset, start);
+        guard.suspect(first_fingerprint + 1000 + offset, start);
+    }
+    crash_sharing sharing(guard, {});
+    peer_report report;
+    report.entry = {"sidecar-cairo-east-100", "cairo-east", "rounds-west", "10.128.200.100:65000",
+                    "10.128.200.100:65001"};
+    report.incarnation = first_fingerprint;
+    report.crashes = sharing.next_page(start);
+    EXPECT_EQ(report.crashes.size(), 17U); // 16 blocks and one list of suspects.
+    EXPECT_LE(encode_report(report).size(), max_datagram_bytes);
+}
+
 TEST(crash_sharing, decisions_are_repeated_for_three_seconds)
 {
     crash_guard guard({});
