sidecar: log the cause of a crash that silence showed

Cause: requests that ended because their upstream had gone dark were logged with cause=connection_lost, which is another way to end. Change: the function that ends a lost request gets the cause. Decisions are the same. Measured: the log of sidecar_crash.dark_upstream_is_detected_before_the_deadline shows cause=silent; sidecar tests pass.

--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -266,7 +266,7 @@
 void gate_request::end_with_upstream()
 {
     if (stage_ == stage::running) {
-        finish_lost_request(true, "silent");
+        finish_lost_request(true, "silent", "the upstream refused a connection after silence");
         owner_->client.cancel(upstream_call_);
     }
 }
@@ -286,7 +286,7 @@
         probe_connection(owner_->loop, owner_->settings.upstream_address, upstream_connect_timeout,
                          [self = shared_from_this(), error = result.error](bool connected) {
                              if (self->stage_ == stage::running) {
-                                 self->finish_lost_request(!connected, error);
+                                 self->finish_lost_request(!connected, "connection_lost", error);
                              }
                          });
         return;
@@ -299,15 +299,16 @@
     }
 }
 
-void gate_request::finish_lost_request(bool crashed, const std::string& error)
+void gate_request::finish_lost_request(bool crashed, std::string_view cause,
+                                       const std::string& error)
 {
     const time_point now = owner_->loop.now();
     if (crashed) {
         owner_->mark_upstream_unreachable("crashed");
-        owner_->apply(owner_->guard.crashed(id_, now), "connection_lost");
+        owner_->apply(owner_->guard.crashed(id_, now), cause);
     }
     else {
-        owner_->apply(owner_->guard.leave_unanswered(id_, now, now), "connection_lost");
+        owner_->apply(owner_->guard.leave_unanswered(id_, now, now), cause);
     }
     owner_->apply(owner_->gate.finish(id_, false, now));
     respond(crashed ? call_outcome::crashed : call_outcome::failed, {},
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace agatespread::detail {
 
@@ -57,7 +58,7 @@
     void on_upstream_response(http_result result);
     void on_upstream_lost(const http_result& result);
     void check_silence();
-    void finish_lost_request(bool crashed, const std::string& error);
+    void finish_lost_request(bool crashed, std::string_view cause, const std::string& error);
 
     /// Ends a call whose caller waits no longer; a silent upstream is probed first.
     void leave_unanswered(bool reached_deadline);
