--- a/test/crash_model-test.cpp
+++ b/test/crash_model-test.cpp
@@ -95,12 +95,21 @@
     options.killed_upstreams = 4;
     expect_bounded(options, "kills of four upstreams");
     options.upstream_kill_period = seconds(7);
-    options.killed_upstreams = 2;
+    options.killed_upstreams = 4;
     options.release_period = seconds(3);
     options.node_restart_period = seconds(5);
     expect_bounded(options, "kills, releases and restarts");
 }
 
+// Guards against trials of a blocked harmless request that end in one unrelated crash after another.
+TEST(crash_model, harmless_requests_are_not_refused_while_most_upstreams_keep_crashing)
+{
+    crash_model_options options;
+    options.upstream_kill_period = seconds(2);
+    options.killed_upstreams = 4;
+    expect_bounded(options, "kills of four upstreams every 2 s");
+}
+
 TEST(crash_model, harmless_requests_are_not_refused_beside_a_crashing_one)
 {
     crash_model_options options = repeated_crash(milliseconds(300));
