--- a/test/crash_model-test.cpp
+++ b/test/crash_model-test.cpp
@@ -101,7 +101,8 @@
     expect_bounded(options, "kills, releases and restarts");
 }
 
-// Guards against trials of a blocked harmless request that end in one unrelated crash after another.
+// Guards against trials of a blocked harmless request that end in one unrelated crash after
+// another.
 TEST(crash_model, harmless_requests_are_not_refused_while_most_upstreams_keep_crashing)
 {
     crash_model_options options;
