row_watch: a position in the feed names the era that its revision belongs to

Callers saw an older version handled, after a newer one was acknowledged, in all failure domains whose readers were affected, until the next change of the configuration. Cause: when the store returns from an older copy, it gives revisions out again. A watch asked for the changes after its revision; once other writes had taken the store past it, the change below it was never delivered. With the store still behind, the lost history was read with a further backoff. Change: poll_changes takes and returns a feed_position of revision and era. The drivers report a position of an earlier era as lost history, which the watch answers with a complete read at once; after a failed poll it asks without a wait, so that the era is seen as soon as the store is back. memory_platform can save a copy and return to it.

--- a/include/agatespread/memory_platform.h
+++ b/include/agatespread/memory_platform.h
@@ -58,7 +58,7 @@
     void commit(transaction request, callback<transaction_result> done) override;
     void read(std::string key, callback<std::optional<std::string>> done) override;
     void scan(std::string prefix, std::size_t limit, callback<std::vector<row>> done) override;
-    void poll_changes(std::string prefix, std::uint64_t after, std::chrono::milliseconds wait,
+    void poll_changes(std::string prefix, feed_position after, std::chrono::milliseconds wait,
                       callback<row_changes> done) override;
     void put_object(std::string id, std::string bytes, callback<bool> done) override;
     void get_object(std::string id, callback<std::string> done) override;
@@ -79,15 +79,30 @@
     /// "history_lost".
     void discard_history();
 
+    /// Keeps a copy of the rows for `restore_copy`.
+    void save_copy();
+
+    /// Returns to the copy, in a new era: later writes are lost and their revisions are used again.
+    /// Polls that wait for changes fail with "unavailable".
+    void restore_copy();
+
     /// Returns the numbers of received calls.
     const platform_counts& counts() const { return counts_; }
 
     /// Returns the current rows.
-    const std::map<std::string, std::string>& rows() const { return rows_; }
+    const std::map<std::string, std::string>& rows() const { return state_.rows; }
 
 private:
     using table = std::map<std::string, std::string>;
 
+    /// The rows with their history of changes.
+    struct table_state {
+        table rows;
+        std::uint64_t revision = 1;      ///< Revision of the newest change.
+        std::uint64_t history_start = 1; ///< `history` holds all changes after this revision.
+        std::map<std::uint64_t, row_write> history;
+    };
+
     struct rate_window {
         std::int64_t second = -1;
         std::uint64_t calls = 0;
@@ -99,12 +114,12 @@
     /// A call of `poll_changes` that waits for a change.
     struct pending_poll {
         std::string prefix;
-        std::uint64_t after = 0;
+        feed_position after;
         callback<row_changes> done;
         subscription timeout;
     };
 
-    row_changes changes_since(const std::string& prefix, std::uint64_t after) const;
+    row_changes changes_since(const std::string& prefix, feed_position after) const;
     void record(const row_write& change);
     void complete_polls();
     void after_delay(std::function<void()> call);
@@ -113,19 +128,18 @@
     template <typename Result>
     void execute_read(std::function<absl::StatusOr<Result>()> get, callback<Result> done);
     transaction_result apply(const transaction& request);
-    const table& readable_rows() const { return faults_.stale_reads ? stale_rows_ : rows_; }
+    const table& readable_rows() const { return faults_.stale_reads ? stale_rows_ : state_.rows; }
 
     timer_service& timers_;
     platform_faults faults_;
     platform_counts counts_;
     rate_window read_window_;
     rate_window write_window_;
-    table rows_;
+    table_state state_;
+    table_state copy_;
+    std::uint64_t era_ = 1; ///< Number of the returns to the copy, plus 1.
     table stale_rows_;
     table objects_;
-    std::uint64_t revision_ = 1;      ///< Revision of the newest change.
-    std::uint64_t history_start_ = 1; ///< `history_` holds all changes after this revision.
-    std::map<std::uint64_t, row_write> history_;
     std::map<std::uint64_t, pending_poll> pending_polls_;
     std::uint64_t next_poll_ = 0;
     std::deque<write_outcome> injected_outcomes_;
--- a/include/agatespread/platform.h
+++ b/include/agatespread/platform.h
@@ -42,11 +42,19 @@
     std::string value;
 };
 
+/// A position in the history of the table's changes.
+struct feed_position {
+    std::uint64_t revision = 0; ///< Revision of the last change; 0 is before all changes.
+    /// Rises when the platform returns from an older copy: acknowledged writes are lost and their
+    /// revisions are used again. 0 if the platform names none.
+    std::uint64_t era = 0;
+};
+
 /// The result of a poll for changed rows; a row without a value was removed.
 struct row_changes {
     std::vector<row_write> rows;
-    std::uint64_t revision = 0; ///< The value of `after` for the next `poll_changes`.
-    bool complete = false;      ///< `rows` holds all rows under the prefix; others were removed.
+    feed_position position; ///< The value of `after` for the next `poll_changes`.
+    bool complete = false;  ///< `rows` holds all rows under the prefix; others were removed.
 };
 
 /// The result of a transaction; `conflicts` holds the current rows of the failed preconditions.
@@ -80,13 +88,13 @@
     /// Reads at most `limit` rows whose key starts with `prefix`, in descending order of key.
     virtual void scan(std::string prefix, std::size_t limit, callback<std::vector<row>> done) = 0;
 
-    /// Waits for changes after the revision `after` of rows whose key starts with `prefix`, for at
+    /// Waits for changes after the position `after` of rows whose key starts with `prefix`, for at
     /// most `wait` (a long poll).
     ///
-    /// With `after` 0 it returns all rows at once. An error has the reason "history_lost" if the
-    /// changes after `after` are no longer available, and "unimplemented" if the driver does not
-    /// support polling.
-    virtual void poll_changes(std::string prefix, std::uint64_t after,
+    /// With the revision 0 it returns all rows at once. An error has the reason "history_lost" if
+    /// the changes after `after` are no longer available or belong to an earlier era, and
+    /// "unimplemented" if the driver does not support polling.
+    virtual void poll_changes(std::string prefix, feed_position after,
                               std::chrono::milliseconds wait, callback<row_changes> done);
 
     /// Stores an object under its SHA-256 hash; idempotent.
--- a/include/agatespread/row_watch.h
+++ b/include/agatespread/row_watch.h
@@ -69,7 +69,7 @@
     random_source random_;
     changes_hook on_changes_;
     health_hook on_health_;
-    std::uint64_t revision_ = 0;
+    feed_position position_;
     bool active_ = true;
     bool idle_ = false; ///< No poll and no timer is pending.
     bool synced_ = false;
--- a/src/memory_platform.cpp
+++ b/src/memory_platform.cpp
@@ -18,6 +18,23 @@
     return platform_error(absl::StatusCode::kUnavailable, "unavailable", "the platform is down");
 }
 
+absl::Status history_lost()
+{
+    return platform_error(absl::StatusCode::kOutOfRange, "history_lost",
+                          "the changes after this position are no longer available");
+}
+
+// Only the response to a poll tells the era, so a poll from an earlier era may wait before it
+// fails.
+platform::callback<row_changes> check_era(feed_position after, platform::callback<row_changes> done)
+{
+    return [after, done = std::move(done)](absl::StatusOr<row_changes> result) {
+        const bool other_era =
+            result.ok() && !result->complete && result->position.era != after.era;
+        done(other_era ? history_lost() : std::move(result));
+    };
+}
+
 } // namespace
 
 memory_platform::memory_platform(timer_service& timers) : timers_(timers)
@@ -27,7 +44,7 @@
 void memory_platform::set_faults(platform_faults faults)
 {
     if (faults.stale_reads && !faults_.stale_reads) {
-        stale_rows_ = rows_;
+        stale_rows_ = state_.rows;
     }
     faults_ = std::move(faults);
 }
@@ -143,8 +160,8 @@
     transaction_result result;
     result.committed = true;
     for (const precondition& condition : request.preconditions) {
-        const auto found = rows_.find(condition.key);
-        const bool present = found != rows_.end();
+        const auto found = state_.rows.find(condition.key);
+        const bool present = found != state_.rows.end();
         if (present != condition.value.has_value() ||
             (present && found->second != *condition.value)) {
             result.committed = false;
@@ -158,10 +175,10 @@
     }
     for (const row_write& change : request.writes) {
         if (change.value) {
-            rows_[change.key] = *change.value;
+            state_.rows[change.key] = *change.value;
         }
         else {
-            rows_.erase(change.key);
+            state_.rows.erase(change.key);
         }
         record(change);
     }
@@ -171,32 +188,48 @@
 
 void memory_platform::record(const row_write& change)
 {
-    history_[++revision_] = change;
+    state_.history[++state_.revision] = change;
 }
 
 void memory_platform::discard_history()
 {
-    history_.clear();
-    history_start_ = revision_;
+    state_.history.clear();
+    state_.history_start = state_.revision;
 }
 
-row_changes memory_platform::changes_since(const std::string& prefix, std::uint64_t after) const
+void memory_platform::save_copy()
+{
+    copy_ = state_;
+}
+
+void memory_platform::restore_copy()
+{
+    state_ = copy_;
+    ++era_;
+    const std::map<std::uint64_t, pending_poll> polls = std::exchange(pending_polls_, {});
+    for (const std::pair<const std::uint64_t, pending_poll>& poll : polls) {
+        poll.second.done(unavailable());
+    }
+}
+
+row_changes memory_platform::changes_since(const std::string& prefix, feed_position after) const
 {
     const auto matches = [&prefix](const std::string& key) {
         return key.compare(0, prefix.size(), prefix) == 0;
     };
     row_changes changes;
-    changes.revision = revision_;
-    changes.complete = after == 0;
+    changes.position = {state_.revision, era_};
+    changes.complete = after.revision == 0;
     if (changes.complete) {
-        for (const std::pair<const std::string, std::string>& entry : rows_) {
+        for (const std::pair<const std::string, std::string>& entry : state_.rows) {
             if (matches(entry.first)) {
                 changes.rows.push_back({entry.first, entry.second});
             }
         }
         return changes;
     }
-    for (auto entry = history_.upper_bound(after); entry != history_.end(); ++entry) {
+    for (auto entry = state_.history.upper_bound(after.revision); entry != state_.history.end();
+         ++entry) {
         if (matches(entry->second.key)) {
             changes.rows.push_back(entry->second);
         }
@@ -221,19 +254,18 @@
     }
 }
 
-void memory_platform::poll_changes(std::string prefix, std::uint64_t after,
+void memory_platform::poll_changes(std::string prefix, feed_position after,
                                    std::chrono::milliseconds wait, callback<row_changes> done)
 {
+    done = check_era(after, std::move(done));
     const absl::Status admitted = admit_read();
     if (!admitted.ok()) {
         after_delay([admitted, done] { done(admitted); });
         return;
     }
-    if (after != 0 && after < history_start_) {
-        after_delay([done] {
-            done(platform_error(absl::StatusCode::kOutOfRange, "history_lost",
-                                "the changes after this revision are no longer available"));
-        });
+    if (after.revision != 0 &&
+        (after.revision < state_.history_start || after.revision > state_.revision)) {
+        after_delay([done] { done(history_lost()); });
         return;
     }
     row_changes changes = changes_since(prefix, after);
@@ -247,7 +279,7 @@
         if (found != pending_polls_.end()) {
             const callback<row_changes> respond = std::move(found->second.done);
             row_changes unchanged;
-            unchanged.revision = revision_;
+            unchanged.position = {state_.revision, era_};
             pending_polls_.erase(found);
             respond(std::move(unchanged));
         }
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -5,7 +5,7 @@
 
 namespace agatespread {
 
-void platform::poll_changes(std::string prefix, std::uint64_t /*after*/,
+void platform::poll_changes(std::string prefix, feed_position /*after*/,
                             std::chrono::milliseconds /*wait*/, callback<row_changes> done)
 {
     const std::string requested = std::move(prefix);
--- a/src/row_watch.cpp
+++ b/src/row_watch.cpp
@@ -30,7 +30,7 @@
 {
     active_ = active;
     if (active_ && idle_) {
-        revision_ = 0;
+        position_ = {};
         poll();
     }
 }
@@ -41,7 +41,9 @@
     if (idle_) {
         return;
     }
-    driver_.poll_changes(prefix_, revision_, options_.long_poll_timeout,
+    // A platform that fails may return from an older copy, which a short poll shows at once.
+    const milliseconds wait = failing_ ? milliseconds(0) : options_.long_poll_timeout;
+    driver_.poll_changes(prefix_, position_, wait,
                          [this, alive = alive_](absl::StatusOr<row_changes> result) {
                              if (*alive) {
                                  on_response(std::move(result));
@@ -52,9 +54,10 @@
 void row_watch::on_response(absl::StatusOr<row_changes> result)
 {
     if (!result.ok()) {
+        const bool resumed = position_.revision != 0;
         const bool history_lost = reason_of(result.status(), "platform") == "history_lost";
         if (history_lost) {
-            revision_ = 0;
+            position_ = {};
         }
         if (!failing_ && on_health_) {
             on_health_(result.status());
@@ -62,8 +65,7 @@
         failing_ = true;
         // After lost history all rows are read at once; if that read fails, it is retried with a
         // backoff.
-        if (history_lost && backoff_.count() == 0) {
-            backoff_ = options_.initial_backoff;
+        if (history_lost && resumed) {
             poll();
             return;
         }
@@ -74,7 +76,7 @@
         on_health_(absl::OkStatus());
     }
     backoff_ = milliseconds(0);
-    revision_ = result->revision;
+    position_ = result->position;
     synced_ = synced_ || result->complete;
     if (result->complete || !result->rows.empty()) {
         on_changes_(*result);
--- a/test/platform_store-test.cpp
+++ b/test/platform_store-test.cpp
@@ -44,15 +44,18 @@
         exchange.respond(std::move(response));
     }
 
-    void enqueue_response(int status, std::string body)
+    void enqueue_response(int status, std::string body, const std::string& era = {})
     {
         http_response response;
         response.status = status;
+        if (!era.empty()) {
+            response.headers.add("Store-Era", era);
+        }
         response.body = std::move(body);
         responses.push_back(std::move(response));
     }
 
-    absl::StatusOr<row_changes> poll_changes(std::uint64_t after)
+    absl::StatusOr<row_changes> poll_changes(feed_position after)
     {
         std::promise<absl::StatusOr<row_changes>> promise;
         thread.loop().post([&] {
@@ -96,10 +99,10 @@
     enqueue_response(200,
                      R"({"rows":[{"table":"nodes","part":"","key":"b","value":"eA==","ver":9}],)"
                      R"("has_more":false,"ver":9,"now":"2ms"})");
-    const absl::StatusOr<row_changes> read = poll_changes(0);
+    const absl::StatusOr<row_changes> read = poll_changes({});
     ASSERT_TRUE(read.ok()) << read.status();
     EXPECT_TRUE(read->complete);
-    EXPECT_EQ(read->revision, 7U);
+    EXPECT_EQ(read->position.revision, 7U);
     ASSERT_EQ(read->rows.size(), 2U);
     EXPECT_EQ(read->rows[0].key, "nodes/a");
     EXPECT_EQ(read->rows[0].value, "bcd");
@@ -112,10 +115,10 @@
     enqueue_response(
         200, std::string(R"({"rows":[)") + row_a +
                  R"(,{"table":"nodes","part":"","key":"b","deleted":true,"ver":8}],"ver":8})");
-    const absl::StatusOr<row_changes> read = poll_changes(4);
+    const absl::StatusOr<row_changes> read = poll_changes({4});
     ASSERT_TRUE(read.ok()) << read.status();
     EXPECT_FALSE(read->complete);
-    EXPECT_EQ(read->revision, 8U);
+    EXPECT_EQ(read->position.revision, 8U);
     ASSERT_EQ(read->rows.size(), 2U);
     EXPECT_TRUE(read->rows[0].value.has_value());
     EXPECT_FALSE(read->rows[1].value.has_value());
@@ -126,15 +129,39 @@
 TEST_F(platform_store, responses_map_to_error_reasons)
 {
     enqueue_response(410, "{}");
-    EXPECT_EQ(reason_of(poll_changes(4).status(), "platform"), "history_lost");
+    EXPECT_EQ(reason_of(poll_changes({4}).status(), "platform"), "history_lost");
     enqueue_response(429, "{}");
-    EXPECT_EQ(reason_of(poll_changes(4).status(), "platform"), "overloaded");
+    EXPECT_EQ(reason_of(poll_changes({4}).status(), "platform"), "overloaded");
     enqueue_response(503, "{}");
-    EXPECT_EQ(reason_of(poll_changes(4).status(), "platform"), "unavailable");
+    EXPECT_EQ(reason_of(poll_changes({4}).status(), "platform"), "unavailable");
     enqueue_response(200, "not json");
-    EXPECT_EQ(reason_of(poll_changes(4).status(), "platform"), "malformed");
+    EXPECT_EQ(reason_of(poll_changes({4}).status(), "platform"), "malformed");
     enqueue_response(200, R"({"rows":"x","ver":1})");
-    EXPECT_EQ(reason_of(poll_changes(4).status(), "platform"), "malformed");
+    EXPECT_EQ(reason_of(poll_changes({4}).status(), "platform"), "malformed");
+}
+
+// Guards against a feed that continues from a revision of an earlier era, which the store has given
+// out again.
+TEST_F(platform_store, position_of_an_earlier_era_is_lost_history)
+{
+    enqueue_response(200, std::string(R"({"rows":[)") + row_a + R"(],"has_more":false,"ver":7})",
+                     "3");
+    const absl::StatusOr<row_changes> read = poll_changes({});
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(read->position.era, 3U);
+    enqueue_response(200, R"({"rows":[],"ver":7})", "3");
+    EXPECT_TRUE(poll_changes(read->position).ok());
+    enqueue_response(200, std::string(R"({"rows":[)") + row_a + R"(],"ver":8})", "4");
+    EXPECT_EQ(reason_of(poll_changes(read->position).status(), "platform"), "history_lost");
+}
+
+// Guards against a complete read whose pages are of two eras.
+TEST_F(platform_store, pages_of_two_eras_are_lost_history)
+{
+    enqueue_response(200, std::string(R"({"rows":[)") + row_a + R"(],"has_more":true,"ver":7})",
+                     "3");
+    enqueue_response(200, R"({"rows":[],"has_more":false,"ver":5})", "4");
+    EXPECT_EQ(reason_of(poll_changes({}).status(), "platform"), "history_lost");
 }
 
 // Guards against a malformed row of another writer that makes a whole page unreadable.
@@ -143,7 +170,7 @@
     enqueue_response(
         200, std::string(R"({"rows":[{"table":1},{"table":"nodes","key":"x","value":"%%"},)") +
                  row_a + R"(],"has_more":false,"ver":7})");
-    const absl::StatusOr<row_changes> read = poll_changes(0);
+    const absl::StatusOr<row_changes> read = poll_changes({});
     ASSERT_TRUE(read.ok());
     ASSERT_EQ(read->rows.size(), 1U);
     EXPECT_EQ(read->rows[0].key, "nodes/a");
--- a/test/row_watch-test.cpp
+++ b/test/row_watch-test.cpp
@@ -44,6 +44,9 @@
 
 using row_watch_test = row_watch_fixture;
 
+/// The parameter is the number of writes to other rows after the return.
+struct row_watch_restore_test : row_watch_fixture, ::testing::WithParamInterface<int> {};
+
 TEST_F(row_watch_test, starts_with_all_rows_and_continues_with_changes)
 {
     write("nodes/a", "1");
@@ -116,6 +119,49 @@
     EXPECT_EQ(received.back().rows.size(), 1U);
 }
 
+// Guards against a watch that keeps its position when the platform returns from an older copy and
+// gives revisions out again: changes below the position are never delivered.
+TEST_P(row_watch_restore_test, changes_after_a_return_from_a_copy_are_delivered)
+{
+    write("nodes/a", "before");
+    driver.save_copy();
+    start();
+    timers.advance(milliseconds(5));
+    write("nodes/b", "lost");
+    write("other/x", "lost");
+    timers.advance(milliseconds(5));
+    platform_faults down;
+    down.down = true;
+    driver.set_faults(down);
+    driver.restore_copy();
+    timers.advance(milliseconds(500));
+    driver.set_faults({});
+    write("nodes/a", "after");
+    for (int count = 0; count < GetParam(); ++count) {
+        write("other/x", std::to_string(count));
+    }
+    timers.advance(row_watch_options().max_backoff);
+    ASSERT_FALSE(received.back().rows.empty());
+    EXPECT_EQ(received.back().rows.front().value, "after");
+}
+
+INSTANTIATE_TEST_SUITE_P(other_writes, row_watch_restore_test, ::testing::Values(0, 1, 2, 3, 10));
+
+// Guards against the same if the platform returns between two polls, so that none fails.
+TEST_F(row_watch_test, return_from_a_copy_between_two_polls_is_noticed)
+{
+    driver.save_copy();
+    write("other/x", "lost");
+    start();
+    driver.restore_copy();
+    write("nodes/a", "1");
+    write("other/x", "2");
+    timers.advance(row_watch_options().long_poll_timeout + milliseconds(5));
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_TRUE(received.back().complete);
+    EXPECT_EQ(received.back().rows.size(), 1U);
+}
+
 // Guards against a watch that misses changes after the platform has dropped its history.
 TEST_F(row_watch_test, lost_history_causes_an_immediate_full_read)
 {
