sidecar: a node writes its entry again when the platform returns from an older copy

Callers of a node that started after such a return got no upstream, and the node no peer to fetch a version from, for up to 30 s; the entries of running nodes stayed lost. Cause: a node took its entry as written for good. It marked the entry as missing only when a change removed it, not when a complete read lacked it, and asked the platform about entries every 30 s. Change: nodes learn the era from their own feeds and, since most read nothing for long, from each other's reports. When it rises, a node writes its entry after a random delay that grows with the number of nodes, and then reads all entries. A complete read without the own entry has the same effect. row_watch::restart ignores the poll that it replaces. Logged as platform_rolled_back. The users allow about 2 s.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -44,6 +44,7 @@
     reported_load load;
     config_version in_force = 0;
     bool can_read_platform = true;     ///< False if its calls to the platform fail.
+    std::uint64_t platform_era = 0;    ///< The latest `feed_position::era` that it knows.
     std::vector<crash_report> crashes; ///< Crashes of the last seconds.
 };
 
--- a/include/agatespread/row_watch.h
+++ b/include/agatespread/row_watch.h
@@ -51,6 +51,9 @@
     /// a watch that has stopped polling resumes with all rows.
     void set_active(bool active);
 
+    /// Reads all rows again at once, and ignores the response to a poll in flight.
+    void restart();
+
     /// Returns whether all rows have been received at least once.
     bool is_synced() const { return synced_; }
 
@@ -59,6 +62,7 @@
 
 private:
     void poll();
+    void read_all();
     void on_response(absl::StatusOr<row_changes> result);
     void retry();
 
@@ -71,7 +75,8 @@
     health_hook on_health_;
     feed_position position_;
     bool active_ = true;
-    bool idle_ = false; ///< No poll and no timer is pending.
+    bool idle_ = false;           ///< No poll and no timer is pending.
+    std::uint64_t last_poll_ = 0; ///< Number of the poll whose response is awaited.
     bool synced_ = false;
     bool failing_ = false;
     std::chrono::milliseconds backoff_{0};
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -60,6 +60,13 @@
         target = static_cast<Number>(found->get<std::uint64_t>());
     }
 
+    void read_optional(const char* name, std::uint64_t& target)
+    {
+        if (find(name) != object_.end()) {
+            read(name, target);
+        }
+    }
+
     json list(const char* name)
     {
         const auto found = find(name);
@@ -204,6 +211,9 @@
     value["e"] = to_permille(report.load.failure_ratio);
     value["v"] = report.in_force;
     value["f"] = report.can_read_platform ? 1U : 0U;
+    if (report.platform_era != 0) {
+        value["g"] = report.platform_era;
+    }
     value["x"] = std::move(crashes);
     return to_bytes(value);
 }
@@ -236,6 +246,7 @@
     fields.read("e", failure_ratio);
     fields.read("v", report.in_force);
     fields.read("f", reads);
+    fields.read_optional("g", report.platform_era);
     for (const json& entry : fields.list("x")) {
         message_fields crash(entry);
         crash_report next;
--- a/src/row_watch.cpp
+++ b/src/row_watch.cpp
@@ -30,11 +30,22 @@
 {
     active_ = active;
     if (active_ && idle_) {
-        position_ = {};
-        poll();
+        read_all();
     }
 }
 
+void row_watch::restart()
+{
+    timer_.cancel();
+    read_all();
+}
+
+void row_watch::read_all()
+{
+    position_ = {};
+    poll();
+}
+
 void row_watch::poll()
 {
     idle_ = !active_;
@@ -43,30 +54,27 @@
     }
     // A platform that fails may return from an older copy, which a short poll shows at once.
     const milliseconds wait = failing_ ? milliseconds(0) : options_.long_poll_timeout;
-    driver_.poll_changes(prefix_, position_, wait,
-                         [this, alive = alive_](absl::StatusOr<row_changes> result) {
-                             if (*alive) {
-                                 on_response(std::move(result));
-                             }
-                         });
+    driver_.poll_changes(
+        prefix_, position_, wait,
+        [this, number = ++last_poll_, alive = alive_](absl::StatusOr<row_changes> result) {
+            if (*alive && number == last_poll_) {
+                on_response(std::move(result));
+            }
+        });
 }
 
 void row_watch::on_response(absl::StatusOr<row_changes> result)
 {
     if (!result.ok()) {
-        const bool resumed = position_.revision != 0;
         const bool history_lost = reason_of(result.status(), "platform") == "history_lost";
-        if (history_lost) {
-            position_ = {};
-        }
         if (!failing_ && on_health_) {
             on_health_(result.status());
         }
         failing_ = true;
         // After lost history all rows are read at once; if that read fails, it is retried with a
         // backoff.
-        if (history_lost && resumed) {
-            poll();
+        if (history_lost && position_.revision != 0) {
+            read_all();
             return;
         }
         retry();
@@ -78,11 +86,13 @@
     backoff_ = milliseconds(0);
     position_ = result->position;
     synced_ = synced_ || result->complete;
+    const std::shared_ptr<bool> alive = alive_;
+    const std::uint64_t number = last_poll_;
     if (result->complete || !result->rows.empty()) {
         on_changes_(*result);
     }
-    if (!*alive_) {
-        return;
+    if (!*alive || number != last_poll_) {
+        return; // The hook destroyed or restarted the watch.
     }
     timer_ = timers_.after(options_.poll_delay, [this](time_point) { poll(); });
 }
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -42,7 +42,10 @@
 constexpr milliseconds fetch_timeout{1000};
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
 
+// The longest delay before a node writes its entry again. All nodes do so after an outage or when
+// the platform has returned from an older copy, so the delay grows with the number of nodes.
 constexpr milliseconds entry_retry_delay{500};
+constexpr milliseconds entry_spacing{5};
 
 // Delays between the polls of a feed; changes within a delay arrive in one response. The delay of
 // the configuration feed puts a version in force well within the platform's bound of 2 s. The feed
@@ -215,12 +218,13 @@
     entry_times.poll_delay = entries_poll_delay;
     entries_watch =
         std::make_unique<row_watch>(driver, loop, settings.entries_prefix, entry_times, random);
-    publish_entry();
+    write_entry();
 }
 
-void sidecar::impl::watch_entries()
+void sidecar::impl::read_entries()
 {
     if (watching_entries) {
+        entries_watch->restart();
         return;
     }
     watching_entries = true;
@@ -241,8 +245,23 @@
     };
 }
 
+void sidecar::impl::learn_platform_era(std::uint64_t era)
+{
+    if (era <= platform_era) {
+        return;
+    }
+    const std::uint64_t before = std::exchange(platform_era, era);
+    if (before == 0) {
+        return;
+    }
+    log.change("platform_rolled_back", {{"era", era}, {"before", before}});
+    entry_written = false;
+    schedule_entry();
+}
+
 void sidecar::impl::apply_configuration_rows(const row_changes& changes)
 {
+    learn_platform_era(changes.position.era);
     for (const row_write& row : changes.rows) {
         if (row.key == dialect.configuration_key && row.value) {
             apply_configuration(*row.value, "platform");
@@ -285,6 +304,10 @@
 {
     const time_point now = loop.now();
     const std::string own_key = settings.entries_prefix + settings.node;
+    learn_platform_era(changes.position.era);
+    if (changes.complete) {
+        entry_written = false;
+    }
     for (const row_write& row : changes.rows) {
         const node_id node = row.key.substr(settings.entries_prefix.size());
         if (!row.value) {
@@ -306,44 +329,56 @@
         known_peers.add_entry(*entry, now);
     }
     counters.peers_known.set(static_cast<std::int64_t>(known_peers.size()));
-    publish_entry();
+    if (!entry_written) {
+        schedule_entry();
+    }
     send_report();
 }
 
-void sidecar::impl::publish_entry()
+void sidecar::impl::schedule_entry()
 {
-    if (!entry_written && !entry_in_flight && !stopping) {
-        write_entry();
-    }
+    const milliseconds longest =
+        std::max<milliseconds>(entry_retry_delay, entry_spacing * known_peers.size());
+    entry_timer = loop.after(uniform_between(random, milliseconds(1), longest),
+                             [this](time_point) { write_entry(); });
 }
 
 void sidecar::impl::write_entry()
 {
+    if (entry_written || entry_in_flight || stopping) {
+        return;
+    }
     entry_in_flight = true;
     transaction write;
     write.writes.push_back({settings.entries_prefix + settings.node, encode_entry(own_entry())});
-    driver.commit(std::move(write), [weak = weak_from_this()](
+    driver.commit(std::move(write), [weak = weak_from_this(), era = platform_era](
                                         const absl::StatusOr<transaction_result>& result) {
-        const std::shared_ptr<impl> self = weak.lock();
-        if (!self) {
-            return;
-        }
-        self->entry_in_flight = false;
-        if (result.ok()) {
-            self->entry_written = true;
-            self->log.change("entry_written", {});
-            // Reading after the write ensures that of two nodes that start together, the one that
-            // reads last finds the other's entry and announces itself there by its reports.
-            self->watch_entries();
-            return;
+        if (const std::shared_ptr<impl> self = weak.lock()) {
+            self->entry_in_flight = false;
+            self->on_entry_written(result.status(), era);
         }
-        self->counters.platform_errors.add();
-        self->log.change("entry_not_written", {{"error", std::string(result.status().message())}});
-        self->entry_timer = self->loop.after(
-            entry_retry_delay, [raw = self.get()](time_point) { raw->publish_entry(); });
     });
 }
 
+void sidecar::impl::on_entry_written(const absl::Status& status, std::uint64_t era)
+{
+    if (!status.ok()) {
+        counters.platform_errors.add();
+        log.change("entry_not_written", {{"error", std::string(status.message())}});
+        schedule_entry();
+        return;
+    }
+    log.change("entry_written", {{"era", era}});
+    entry_written = era == 0 || era == platform_era;
+    if (!entry_written) {
+        schedule_entry();
+        return;
+    }
+    // Reading after the write ensures that of two nodes that start together, the one that reads
+    // last finds the other's entry and announces itself there by its reports.
+    read_entries();
+}
+
 reported_load sidecar::impl::own_load() const
 {
     const time_point now = loop.now();
@@ -360,6 +395,7 @@
     report.load = own_load();
     report.can_read_platform = !reading_configuration || !configuration_watch->failing();
     report.in_force = table ? table->version() : 0;
+    report.platform_era = platform_era;
     report.crashes = std::move(crashes);
     return encode_report(report);
 }
@@ -426,6 +462,7 @@
     if (!known_peers.receive(*report, now)) {
         return;
     }
+    learn_platform_era(report->platform_era);
     for (const crash_report& crash : report->crashes) {
         if (guard.receive(crash, now)) {
             log_crash_report(crash, report->entry.node);
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -74,10 +74,12 @@
     void apply_configuration_rows(const row_changes& changes);
     bool apply_configuration(const std::string& document, std::string_view source);
     void apply_entries(const row_changes& changes);
-    void watch_entries();
+    void read_entries();
     row_watch::health_hook health_logger(const char* dependency);
-    void publish_entry();
+    void schedule_entry();
     void write_entry();
+    void on_entry_written(const absl::Status& status, std::uint64_t era);
+    void learn_platform_era(std::uint64_t era);
     peer_entry own_entry() const;
 
     void schedule_report(bool own_domain);
@@ -156,6 +158,7 @@
     bool entry_written = false;
     bool entry_in_flight = false;
     bool watching_entries = false;
+    std::uint64_t platform_era = 0;    ///< The latest `feed_position::era` that this node knows.
     bool reading_configuration = true; ///< This node is a reader of its failure domain.
     bool fetch_in_flight = false;
     subscription fetch_timer;
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -46,6 +46,7 @@
     report.load.kinds = {
         {{21, milliseconds(40), milliseconds(1)}, {22, milliseconds(140), milliseconds(75)}}};
     report.can_read_platform = false;
+    report.platform_era = 3;
     report.crashes.push_back({11, 2, true, milliseconds(600000), {12, 13}});
     const absl::StatusOr<peer_report> read = decode_report(encode_report(report));
     ASSERT_TRUE(read.ok()) << read.status();
@@ -68,6 +69,7 @@
     EXPECT_EQ(read->load.kinds[2].kind, 0U);
     EXPECT_FALSE(read->can_read_platform);
     EXPECT_EQ(read->in_force, 4U);
+    EXPECT_EQ(read->platform_era, 3U);
     ASSERT_EQ(read->crashes.size(), 1U);
     EXPECT_EQ(read->crashes[0].fingerprint, 11U);
     EXPECT_EQ(read->crashes[0].crashes, 2U);
--- a/test/row_watch-test.cpp
+++ b/test/row_watch-test.cpp
@@ -162,6 +162,21 @@
     EXPECT_EQ(received.back().rows.size(), 1U);
 }
 
+// Guards against a restarted watch that keeps its old position, polls twice, or applies the response
+// to the poll that it replaced.
+TEST_F(row_watch_test, restart_reads_all_rows_once)
+{
+    write("nodes/a", "1");
+    start();
+    timers.advance(milliseconds(5)); // The long poll waits.
+    watch.restart();
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_TRUE(received.back().complete);
+    timers.advance(milliseconds(5));
+    write("nodes/b", "2");
+    EXPECT_EQ(received.size(), 3U);
+}
+
 // Guards against a watch that misses changes after the platform has dropped its history.
 TEST_F(row_watch_test, lost_history_causes_an_immediate_full_read)
 {
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -372,6 +372,50 @@
     thread.call([&held] { held.clear(); });
 }
 
+// Guards against nodes that keep believing in their entries in the directory after the platform
+// returned from an older copy. The third node does not read the platform by itself.
+TEST_F(sidecar_test, entries_lost_with_a_copy_are_written_again)
+{
+    configure("1 1000 idempotent rounds");
+    thread.call([this] { store.save_copy(); });
+    host third;
+    start(first, "a", "rounds");
+    start(second, "b", "rounds");
+    start(third, "c", "rounds");
+    const auto entries = [this] {
+        return store.rows().count("nodes/a") + store.rows().count("nodes/b") +
+               store.rows().count("nodes/c");
+    };
+    ASSERT_TRUE(thread.eventually([&entries] { return entries() == 3; }));
+    ASSERT_TRUE(eventually_ready(third));
+    const time_point restored_at = std::chrono::steady_clock::now();
+    thread.call([this, &entries] {
+        store.restore_copy();
+        ASSERT_EQ(entries(), 0U);
+    });
+    EXPECT_TRUE(thread.eventually([&entries] { return entries() == 3; }));
+    EXPECT_LT((std::chrono::steady_clock::now() - restored_at) / milliseconds(1), 2000);
+    thread.call([&third] {
+        third.node.reset();
+        third.upstream.reset();
+    });
+}
+
+// Guards against a node that starts after such a return, finds no peers and stays without them.
+TEST_F(sidecar_test, node_that_starts_after_a_return_from_a_copy_finds_its_peers)
+{
+    thread.call([this] { store.save_copy(); });
+    start(first, "a", "rounds");
+    send_heartbeat(first);
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    thread.call([this] { store.restore_copy(); });
+    configure("1 1000 idempotent rounds");
+    start(second, "b", "orders");
+    ASSERT_TRUE(eventually_ready(second));
+    EXPECT_TRUE(eventually_responds_with(second, 200));
+}
+
 // Guards against a node that starts while the platform is down and stays without a configuration
 // although its peers have one.
 TEST_F(sidecar_test, node_without_configuration_becomes_ready_after_the_platform_recovers)
