block_rows: repeat the writes that a platform restored from a copy has lost

A request that ends its upstreams ended a third one, after the platform had lost the row of its block and the nodes restarted. Cause: a block was written once; the acknowledgement was taken as final. Change: a node keeps the blocks and removals that it wrote until they end, and repeats them when the era of the platform rises. A block that another node cleared is not repeated. Measured: sidecar_crash.blocks_outlast_a_return_of_the_platform_from_a_copy on: no row within 20 s, 3 ended upstreams (2 allowed); now it passes. Rows written by a node that has ended since are lost with the copy.

--- a/src/block_rows.cpp
+++ b/src/block_rows.cpp
@@ -139,9 +139,23 @@
     write_pending();
 }
 
+void block_rows::repeat_writes()
+{
+    pending_.insert(written_.begin(), written_.end());
+    write_pending();
+}
+
+void block_rows::forget(std::uint64_t fingerprint)
+{
+    written_.erase(fingerprint);
+}
+
 void block_rows::write_pending()
 {
     const system_clock::time_point now = clock_();
+    for (auto each = written_.begin(); each != written_.end();) {
+        each = each->second.end <= now ? written_.erase(each) : std::next(each);
+    }
     transaction change;
     for (auto each = pending_.begin(); each != pending_.end();) {
         if (each->second.end <= now) {
@@ -172,6 +186,7 @@
             return;
         }
         for (const std::pair<const std::uint64_t, stored_block>& each : written) {
+            written_[each.first] = each.second;
             const auto found = pending_.find(each.first);
             if (found != pending_.end() && found->second.end == each.second.end) {
                 pending_.erase(found);
--- a/src/block_rows.h
+++ b/src/block_rows.h
@@ -59,6 +59,13 @@
     /// Removes the row of a fingerprint that a success cleared.
     void remove(std::uint64_t fingerprint);
 
+    /// Repeats the writes and removals of this process that still matter, because the platform may
+    /// have lost them.
+    void repeat_writes();
+
+    /// Excludes a block that another node cleared from `repeat_writes`.
+    void forget(std::uint64_t fingerprint);
+
 private:
     struct stored_block {
         std::uint32_t blocks = 0; ///< 0 to remove the row.
@@ -78,6 +85,7 @@
     const block_rows_options options_;
     block_hook on_block_;
     std::map<std::uint64_t, stored_block> pending_; ///< Blocks that are not written yet.
+    std::map<std::uint64_t, stored_block> written_; ///< Blocks that have not ended yet.
     bool write_in_flight_ = false;
     subscription scan_timer_;
     subscription write_timer_;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -257,6 +257,7 @@
     log.change("platform_rolled_back", {{"era", era}, {"before", before}});
     entry_written = false;
     schedule_entry();
+    blocks.repeat_writes();
 }
 
 void sidecar::impl::apply_configuration_rows(const row_changes& changes)
@@ -467,6 +468,9 @@
         if (guard.receive(crash, now)) {
             log_crash_report(crash, report->entry.node);
         }
+        if (crash.cleared) {
+            blocks.forget(crash.fingerprint);
+        }
     }
     if (report->in_force > (table ? table->version() : 0) && !fetch_in_flight) {
         fetch_in_flight = true;
--- a/test/block_rows-test.cpp
+++ b/test/block_rows-test.cpp
@@ -70,6 +70,27 @@
     EXPECT_EQ(loaded[0].blocked_for, minutes(6));
 }
 
+// Guards against the loss of writes and removals that the platform acknowledged before it returned
+// from an older copy, and against the return of blocks that have ended.
+TEST_F(block_rows_test, writes_and_removals_are_repeated)
+{
+    block_rows rows = make_rows();
+    rows.store(make_block_report(6, 1, minutes(10)));
+    driver.save_copy();
+    rows.store(make_block_report(7, 3, minutes(10)));
+    rows.store(make_block_report(8, 1, seconds(5)));
+    rows.store(make_block_report(9, 1, minutes(10)));
+    rows.forget(9);
+    rows.remove(6);
+    driver.restore_copy();
+    advance(seconds(6));
+    rows.repeat_writes();
+    block_rows restarted = make_rows();
+    load(restarted);
+    ASSERT_EQ(loaded.size(), 1U);
+    EXPECT_EQ(loaded[0].fingerprint, 7U);
+}
+
 // Guards against a block that is lost, or not read, because the platform was down.
 TEST_F(block_rows_test, failed_calls_are_repeated)
 {
--- a/test/row_watch-test.cpp
+++ b/test/row_watch-test.cpp
@@ -162,8 +162,8 @@
     EXPECT_EQ(received.back().rows.size(), 1U);
 }
 
-// Guards against a restarted watch that keeps its old position, polls twice, or applies the response
-// to the poll that it replaced.
+// Guards against a restarted watch that keeps its old position, polls twice, or applies the
+// response to the poll that it replaced.
 TEST_F(row_watch_test, restart_reads_all_rows_once)
 {
     write("nodes/a", "1");
--- a/test/sidecar-crash-test.cpp
+++ b/test/sidecar-crash-test.cpp
@@ -280,6 +280,28 @@
     EXPECT_LE(a.ended, max_ended_upstreams);
 }
 
+// Guards against the loss of the blocks that the platform acknowledged after the copy to which it
+// returned.
+TEST_F(sidecar_crash, blocks_outlast_a_return_of_the_platform_from_a_copy)
+{
+    start_host(a, "a", "rounds");
+    thread.call([this] { store.save_copy(); });
+    for (int count = 0; count < 3; ++count) {
+        send_crash(a);
+        restart_upstream(a);
+    }
+    thread.call([this] { store.restore_copy(); });
+    const auto block_is_stored = [this] {
+        const auto next = store.rows().lower_bound("blocks/");
+        return next != store.rows().end() && next->first.rfind("blocks/", 0) == 0;
+    };
+    EXPECT_TRUE(thread.eventually(block_is_stored));
+    restart_node(a);
+    wait_for_stable_window();
+    send_crash(a);
+    EXPECT_LE(a.ended, max_ended_upstreams);
+}
+
 // Guards against a count for each caller's service.
 TEST_F(sidecar_crash, request_is_blocked_for_all_callers)
 {
