sidecar: fetch a configuration from a peer on a new connection

Callers saw an older version handled by a node whose connections to its peers had fallen silent. Cause: the fetch used an idle connection of the pool, which delivered nothing, and waited for its time-out of 1 s before the next try. Change: a fetch opens a connection; versions are rare and the documents large.

--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -509,6 +509,7 @@
     call.url = "http://" + peer.call_address + std::string(configuration_path);
     call.timeout = fetch_timeout;
     call.max_response_bytes = max_configuration_bytes;
+    call.new_connection = true; // An idle one may have fallen silent.
     client.send(std::move(call),
                 [weak = weak_from_this(), node = peer.node](const http_result& result) {
                     const std::shared_ptr<impl> self = weak.lock();
