--- a/test/apply_job-test.cpp
+++ b/test/apply_job-test.cpp
@@ -70,6 +70,18 @@
     EXPECT_EQ(apply("a/y", document("s2"), "c2")->value().accepted.accepted.version, 2U);
 }
 
+// Guards against a change that is never in force: nodes that hold a version do not take another one
+// with the same number.
+TEST_F(apply_job, version_is_not_given_out_again_after_a_return_from_a_copy)
+{
+    ASSERT_TRUE(apply("a/x", document("s1"), "c1")->ok());
+    driver.save_copy();
+    const config_version lost =
+        apply("a/x", document("s2"), "c2")->value().accepted.accepted.version;
+    driver.restore_copy();
+    EXPECT_GT(apply("a/y", document("s3"), "c3")->value().accepted.accepted.version, lost);
+}
+
 TEST_F(apply_job, change_that_makes_the_tree_invalid_is_refused)
 {
     ASSERT_TRUE(apply("a/x", document("s1"), "c1")->ok());
