gate: close for an upstream that says in a response that it leaves

An upstream that was leaving got new requests until its next heartbeat or its deregistration arrived. Cause: the gate learnt of it from these messages only; the response header was not decoded. Change: one rule for all three ways. The gate, which all requests pass, counts the incarnation as draining from the first response that says so; only a later incarnation opens it again.

--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -49,6 +49,7 @@
     bool other_instance = false; ///< Another instance now has the address; the request did not run.
     bool encoded = false; ///< The body has a content encoding, so it is not the upstream's own.
     std::optional<double> rate_limit; ///< Requests per second that it accepts from all hosts.
+    bool leaving = false;             ///< The upstream drains.
 };
 
 /// Translates between the sidecar and the formats of the deployment's platform: its configuration,
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -35,6 +35,9 @@
     /// Applies the deregistration of an incarnation, which is its last message.
     lifecycle_change deregister(const std::string& instance, std::chrono::milliseconds started_at);
 
+    /// Applies a response in which the current incarnation says that it is leaving.
+    lifecycle_change mark_leaving();
+
     /// Closes an upstream that refuses connections or responds as another instance; the next
     /// heartbeat opens it again.
     lifecycle_change mark_unreachable();
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -624,6 +624,9 @@
     if (response.other_instance || instance != upstream.instance()) {
         return;
     }
+    if (response.leaving) {
+        apply(upstream.mark_leaving(), "response");
+    }
     // The limit ends with the first response without one, if the upstream itself has written it.
     if (response.rate_limit || response.authentic) {
         limit_upstream_rate(response.rate_limit);
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -58,6 +58,13 @@
     return transition_to(upstream_state::draining);
 }
 
+lifecycle_change upstream_lifecycle::mark_leaving()
+{
+    left_service_ = true;
+    return state_ == upstream_state::ready ? transition_to(upstream_state::draining)
+                                           : lifecycle_change::none;
+}
+
 lifecycle_change upstream_lifecycle::mark_unreachable()
 {
     return state_ == upstream_state::ready ? transition_to(upstream_state::gone)
--- a/test/platform_configuration-test.cpp
+++ b/test/platform_configuration-test.cpp
@@ -143,4 +143,13 @@
     }
 }
 
+TEST(platform_configuration, leaving_upstream_is_recognized)
+{
+    const sidecar_dialect dialect = make_dialect();
+    http_response response;
+    EXPECT_FALSE(dialect.read_upstream_response(response).leaving);
+    response.headers.set("Server-Leaving", "1");
+    EXPECT_TRUE(dialect.read_upstream_response(response).leaving);
+}
+
 } // namespace agatespread::adapter
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -428,6 +428,31 @@
     EXPECT_EQ(first.request_count - unlimited, 3 * limit);
 }
 
+// Guards against requests to an upstream that says in its responses that it leaves, before its next
+// heartbeat.
+TEST_F(sidecar_test, upstream_that_says_in_a_response_that_it_leaves_gets_no_new_requests)
+{
+    start(first, "a", "rounds");
+    start(second, "b", "orders");
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = make_response(exchange->request());
+        response.headers.add("Leaving", "1");
+        exchange->respond(std::move(response));
+    };
+    configure("1 1000 idempotent rounds");
+    send_heartbeat(first);
+    ASSERT_TRUE(eventually_responds_with(second, 200));
+    const int before = first.request_count;
+    EXPECT_EQ(send(first, "1").response.status, 503);
+    EXPECT_EQ(send(second, "2").response.status, 503);
+    // A heartbeat that was sent earlier.
+    send_heartbeat(first, "i-1", false, 2);
+    EXPECT_EQ(send(first, "3").response.status, 503);
+    EXPECT_EQ(first.request_count, before);
+    send_heartbeat(first, "i-2", false, 1);
+    EXPECT_TRUE(eventually_responds_with(first, 200));
+}
+
 // Guards against nodes that keep believing in their entries in the directory after the platform
 // returned from an older copy. The third node does not read the platform by itself.
 TEST_F(sidecar_test, entries_lost_with_a_copy_are_written_again)
--- a/test/sidecar_fixture.h
+++ b/test/sidecar_fixture.h
@@ -77,6 +77,7 @@
         if (response.headers.contains("Limit")) {
             answer.rate_limit = std::stod(std::string(response.headers.get("Limit")));
         }
+        answer.leaving = response.headers.contains("Leaving");
         return answer;
     };
     dialect.read_health = [](const http_response&) { return std::optional<std::string>(); };
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -44,6 +44,19 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
+// Guards against an upstream that is opened again by a heartbeat that it sent before the response
+// in which it said that it leaves.
+TEST(upstream_lifecycle, incarnation_that_is_leaving_never_becomes_ready_again)
+{
+    upstream_lifecycle upstream;
+    upstream.receive(heartbeat("a", 10, 1));
+    EXPECT_EQ(upstream.mark_leaving(), lifecycle_change::closed);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    EXPECT_EQ(upstream.mark_leaving(), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 2)), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::opened);
+}
+
 TEST(upstream_lifecycle, deregistered_incarnation_is_closed)
 {
     upstream_lifecycle upstream;
