tests of feed and rate limit: findings of the linter

Cause: a destructor without the other special members, and a vector that grows in a loop. Change: SetUp and TearDown; reserve. Nothing else is checked than before.

--- a/test/platform_feed-test.cpp
+++ b/test/platform_feed-test.cpp
@@ -27,7 +27,7 @@
 
 /// One node, connected to its store by a proxy.
 struct platform_feed : ::testing::Test {
-    platform_feed()
+    void SetUp() override
     {
         thread.call([this] {
             server = std::make_unique<platform_table_server>(thread.loop());
@@ -38,7 +38,7 @@
         });
     }
 
-    ~platform_feed() override
+    void TearDown() override
     {
         thread.call([this] {
             node.reset();
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -397,8 +397,10 @@
     const time_point end = std::chrono::steady_clock::now() + window;
     std::atomic<int> refusals{0};
     std::atomic<int> refusals_without_retry_after{0};
+    constexpr int concurrent_callers = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller) {
+    callers.reserve(concurrent_callers);
+    for (int caller = 0; caller < concurrent_callers; ++caller) {
         callers.emplace_back([&, caller] {
             while (std::chrono::steady_clock::now() < end) {
                 const http_result result =
