admission: an upstream that is gone reports no slots under a rate limit

Cause: the slots that a rate keeps busy were rounded up to one, also without any slot. Change: no slots stay no slots; two doc comments name the rate limit. Measured: the new check of admission.load_shows_the_wait_for_the_limited_rate gave 1 instead of 0 on the code before; now 20 of 20 tests of admission, the daemon's gate and the limits pass.

--- a/include/agatespread/admission.h
+++ b/include/agatespread/admission.h
@@ -68,7 +68,7 @@
     std::uint32_t queued = 0;
     std::uint32_t slots = 0; ///< Under a rate limit, at most as many as the limit keeps busy.
     std::chrono::nanoseconds service_time{0}; ///< Mean over all kinds; 0 before the first response.
-    std::chrono::nanoseconds wait{0}; ///< Expected time until a slot is free for a new call.
+    std::chrono::nanoseconds wait{0};         ///< Expected time until a new call can start.
     kind_times kinds{};
 };
 
@@ -79,10 +79,10 @@
 /// are not spent on late responses under sustained overload. A late call is queued only while the
 /// queue is short, and refused immediately otherwise.
 ///
-/// A call is refused immediately if the observed service times show that it cannot finish within
-/// its deadline. While the upstream is idle, and once per probe period for each kind, a call is
-/// accepted regardless of the estimate; otherwise an estimate that is too high would never be
-/// corrected.
+/// A call is refused immediately if the observed service times, or the rate limit of the upstream,
+/// show that it cannot finish within its deadline. While the upstream is idle, and once per probe
+/// period for each kind, a call is accepted regardless of the estimate; otherwise an estimate that
+/// is too high would never be corrected.
 ///
 ///     admission gate({});
 ///     gate.set_upstream(upstream_state::ready, 10, now);
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -197,14 +197,14 @@
 std::uint32_t admission::busy_slots_within_rate(time_point now) const
 {
     const std::uint32_t slots = available_slots(now);
-    if (!starts_.rate() || overall_service_time_.samples == 0) {
+    if (slots == 0 || !starts_.rate() || overall_service_time_.samples == 0) {
         return slots;
     }
     // Little's law.
     const double busy =
         *starts_.rate() * std::chrono::duration<double>(overall_service_time_.mean).count();
     return static_cast<std::uint32_t>(
-        std::clamp(std::round(busy), 1.0, static_cast<double>(std::max(1U, slots))));
+        std::clamp(std::round(busy), 1.0, static_cast<double>(slots)));
 }
 
 admission::nanoseconds admission::expected_service_time(std::uint32_t kind) const
--- a/test/admission-test.cpp
+++ b/test/admission-test.cpp
@@ -407,6 +407,9 @@
     EXPECT_EQ(admission_queue.load(limited_at).slots, 10U);
     EXPECT_EQ(admission_queue.load(limited_at).running, 2U);
     EXPECT_EQ(admission_queue.load(limited_at).wait.count(), 0);
+    admission_queue.set_rate_limit(10, limited_at);
+    admission_queue.set_upstream(upstream_state::gone, 0, limited_at);
+    EXPECT_EQ(admission_queue.load(limited_at).slots, 0U);
 }
 
 } // namespace agatespread
