platform_feed test: a drill of returns from copies, outages and silent connections

Change: five nodes in two failure domains, each with the real driver, through a seeded series of lost versions, silent connections, outages of up to 0.7 s, returns from a copy and writes after them. Each new version has to be in force on all nodes 3 s after the return or 2 s after its write, no node may go back, and all entries have to return.

--- a/test/platform_feed-test.cpp
+++ b/test/platform_feed-test.cpp
@@ -17,6 +17,9 @@
 // The time after which a host whose connections were reset must keep the bounds again.
 constexpr milliseconds stable_window = std::chrono::seconds(3);
 
+// The time for a version to be in force on a host that keeps the bounds.
+constexpr milliseconds config_apply = std::chrono::seconds(2);
+
 // What the silence of a reader's feed leaves of it for the other nodes.
 constexpr milliseconds fetch_share{700};
 
@@ -25,7 +28,7 @@
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
 }
 
-/// One node, connected to its store by a proxy.
+/// Nodes that are connected to their store by a proxy.
 struct platform_feed : ::testing::Test {
     void SetUp() override
     {
@@ -34,33 +37,48 @@
             const std::string address = server->address();
             const int port = std::stoi(address.substr(address.find(':') + 1));
             proxy = std::make_unique<silent_proxy>(static_cast<unsigned short>(port));
-            store = std::make_unique<table_store>(thread.loop(), proxy->address());
         });
     }
 
     void TearDown() override
     {
         thread.call([this] {
-            node.reset();
-            store.reset();
+            nodes.clear();
             server.reset();
         });
     }
 
-    void start_node()
+    struct test_node {
+        std::string name;
+        std::unique_ptr<table_store> store;
+        metrics data;
+        std::unique_ptr<sidecar> process;
+        std::int64_t highest_version = 0;
+
+        std::int64_t version()
+        {
+            return data.gauge_of("agatespread_configuration_version").value();
+        }
+    };
+
+    void start_node(const std::string& name, const std::string& domain,
+                    const std::string& report_address)
     {
-        thread.call([this] {
+        nodes.push_back(std::make_unique<test_node>());
+        test_node& started = *nodes.back();
+        started.name = name;
+        thread.call([&] {
+            started.store = std::make_unique<table_store>(thread.loop(), proxy->address());
             sidecar_settings settings;
-            settings.node = "a";
-            settings.failure_domain = "cairo";
+            settings.node = name;
+            settings.failure_domain = domain;
             settings.service = "rounds";
             settings.report_address = report_address;
             settings.upstream_address = "127.0.0.1:1";
             settings.log.descriptor = -1;
-            node =
-                sidecar::start(thread.loop(), *store, data, settings, test::test_dialect(), [this] {
-                    return engine();
-                }).value();
+            started.process = sidecar::start(thread.loop(), *started.store, started.data, settings,
+                                             test::test_dialect(), [this] { return engine(); })
+                                  .value();
         });
     }
 
@@ -70,8 +88,9 @@
         std::atomic<int> open{0};
         thread.call([this, count, &open] {
             for (int index = 0; index < count; ++index) {
-                store->read("other/x",
-                            [&open](const absl::StatusOr<std::optional<std::string>>&) { ++open; });
+                nodes.front()->store->read(
+                    "other/x",
+                    [&open](const absl::StatusOr<std::optional<std::string>>&) { ++open; });
             }
         });
         ASSERT_TRUE(thread.eventually([count, &open] { return open == count; }));
@@ -85,24 +104,29 @@
         });
     }
 
+    /// Waits until all nodes have a version in force.
     bool in_force(std::int64_t version)
     {
         return thread.eventually([this, version] {
-            return data.gauge_of("agatespread_configuration_version").value() == version;
+            return std::all_of(nodes.begin(), nodes.end(),
+                               [version](const std::unique_ptr<test_node>& node) {
+                                   return node->version() == version;
+                               });
         });
     }
 
-    const std::string report_address =
-        "127.0.0.1:" + std::to_string(test::sidecar_fixture::free_port());
     loop_thread thread;
     std::unique_ptr<platform_table_server> server;
     std::unique_ptr<silent_proxy> proxy;
-    std::unique_ptr<table_store> store;
-    metrics data;
     std::mt19937_64 engine{7};
-    std::unique_ptr<sidecar> node;
+    std::vector<std::unique_ptr<test_node>> nodes;
 };
 
+std::string free_report_address()
+{
+    return "127.0.0.1:" + std::to_string(test::sidecar_fixture::free_port());
+}
+
 } // namespace
 
 // Guards against a reader whose connections to the store fall silent and that waits for the end of
@@ -110,7 +134,7 @@
 TEST_F(platform_feed, version_is_in_force_in_time_after_connections_fell_silent)
 {
     configure(1);
-    start_node();
+    start_node("a", "cairo", free_report_address());
     ASSERT_TRUE(in_force(1));
     open_connections(4);
     proxy->silence_open_connections();
@@ -124,7 +148,8 @@
 TEST_F(platform_feed, version_of_a_peer_is_in_force_in_time_after_connections_fell_silent)
 {
     configure(1);
-    start_node();
+    const std::string report_address = free_report_address();
+    start_node("a", "cairo", report_address);
     ASSERT_TRUE(in_force(1));
     int peer_version = 2;
     std::unique_ptr<http_server> peer;
@@ -174,7 +199,7 @@
 TEST_F(platform_feed, version_written_after_a_return_from_a_copy_is_in_force_in_time)
 {
     configure(1);
-    start_node();
+    start_node("a", "cairo", free_report_address());
     ASSERT_TRUE(in_force(1));
     thread.call([this] { server->save_copy(); });
     configure(2);
@@ -192,4 +217,86 @@
     EXPECT_LT(elapsed_since(restored_at).count(), stable_window.count()) << "ms";
 }
 
+namespace {
+
+/// Returns the first and the last seed: 1 and 2, or those of DRILL_SEEDS, such as "5-54".
+std::pair<std::uint64_t, std::uint64_t> drill_seeds()
+{
+    const char* const text = ::getenv("DRILL_SEEDS");
+    if (text == nullptr) {
+        return {1, 2};
+    }
+    const std::string range = text;
+    const std::size_t dash = range.find('-');
+    return {std::stoull(range), std::stoull(range.substr(dash == range.npos ? 0 : dash + 1))};
+}
+
+} // namespace
+
+// Guards against nodes, most of which do not read the store, that keep an older version, go back to
+// one or lose their entries in a series of returns from copies, outages and silent connections.
+TEST_F(platform_feed, all_nodes_follow_the_configuration_through_repeated_returns_from_copies)
+{
+    configure(1);
+    for (const char* const name : {"a", "b", "c", "d", "e"}) {
+        start_node(name, name[0] < 'd' ? "cairo" : "alex", free_report_address());
+    }
+    ASSERT_TRUE(in_force(1));
+    subscription watching;
+    std::atomic<int> regressions{0};
+    thread.call([&] {
+        watching = thread.loop().every(milliseconds(5), [&](time_point) {
+            for (const std::unique_ptr<test_node>& node : nodes) {
+                regressions += node->version() < node->highest_version ? 1 : 0;
+                node->highest_version = std::max(node->highest_version, node->version());
+            }
+        });
+    });
+    int version = 1;
+    const std::pair<std::uint64_t, std::uint64_t> range = drill_seeds();
+    for (std::uint64_t seed = range.first; seed <= range.second; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937_64 faults(seed);
+        const auto below = [&faults](std::uint64_t limit) { return faults() % limit; };
+        const auto pause = [&below](std::uint64_t longest) {
+            std::this_thread::sleep_for(milliseconds(below(longest)));
+        };
+        thread.call([this] { server->save_copy(); });
+        for (std::uint64_t lost = below(4); lost > 0; --lost) {
+            configure(++version);
+            pause(300);
+        }
+        if (below(2) == 0) {
+            proxy->silence_open_connections();
+        }
+        thread.call([this] { server->set_down(true); });
+        pause(700);
+        thread.call([this] {
+            server->restore_copy();
+            server->set_down(false);
+        });
+        const time_point restored_at = steady_clock::now();
+        pause(300);
+        configure(version); // The operator writes again what was lost.
+        thread.call([this, count = below(6)] {
+            for (std::uint64_t index = 0; index < count; ++index) {
+                server->write("other", "x", std::to_string(index));
+            }
+        });
+        pause(300);
+        const time_point due =
+            std::max(restored_at + stable_window, steady_clock::now() + config_apply);
+        configure(++version);
+        ASSERT_TRUE(in_force(version));
+        EXPECT_LT(elapsed_since(due).count(), 0) << "ms";
+        ASSERT_TRUE(thread.eventually([this] {
+            return std::all_of(nodes.begin(), nodes.end(), [this](const auto& node) {
+                return server->contains("nodes", node->name);
+            });
+        }));
+    }
+    EXPECT_EQ(regressions, 0);
+    thread.call([&watching] { watching.cancel(); });
+}
+
 } // namespace agatespread::adapter
--- a/test/platform_table_server.h
+++ b/test/platform_table_server.h
@@ -43,6 +43,16 @@
         return state_.rows.count({table, key}) > 0;
     }
 
+    /// Refuses all calls, also the polls that wait.
+    void set_down(bool down)
+    {
+        down_ = down;
+        const std::map<std::uint64_t, poll> waiting = std::exchange(polls_, {});
+        for (const std::pair<const std::uint64_t, poll>& each : waiting) {
+            respond(*each.second.exchange, 503, nlohmann::json::array());
+        }
+    }
+
     void save_copy() { copy_ = state_; }
 
     void restore_copy()
@@ -79,6 +89,10 @@
 
     void serve(std::shared_ptr<http_exchange> exchange)
     {
+        if (down_) {
+            respond(*exchange, 503, nlohmann::json::array());
+            return;
+        }
         const std::string target = exchange->request().target;
         const std::string table = parameter(target, "table");
         if (target.rfind("/v1/rows-tx", 0) == 0) {
@@ -152,6 +166,7 @@
     content state_;
     content copy_;
     std::uint64_t era_ = 1;
+    bool down_ = false;
     std::map<std::uint64_t, poll> polls_;
     std::uint64_t last_poll_ = 0;
     std::unique_ptr<http_server> server_;
