daemon: a change after a return of the platform from a copy gets a number above the one in force

Operators saw an accepted change that no node took: its version number was in force already, with other content, and nodes never go back. Cause: the number and the base of a change came from the head on the platform alone, which goes back with the copy. Change: if the head is below the version in force on the node that handles the change, the change is applied to the tree in force, whose documents are stored again, and numbered above it. So the lost change becomes part of the new version. A stale head looks the same and still fails the commit, whose precondition is the head.

--- a/include/agatespread/store.h
+++ b/include/agatespread/store.h
@@ -56,6 +56,10 @@
     std::string document; ///< Canonical form; an empty document removes the subtree.
     head base;
     manifest base_manifest;
+    /// The accepted version is above this one as well. It is above that of `base` if the platform
+    /// has returned from an older copy and lost accepted versions.
+    config_version newest_known = 0;
+    std::vector<std::string> lost_documents{}; ///< Of `base_manifest`; they are stored again.
 };
 
 /// The outcome of an accepted change.
--- a/src/apply_job.cpp
+++ b/src/apply_job.cpp
@@ -2,6 +2,7 @@
 
 #include <agatespread/digest.h>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -13,11 +14,20 @@
 // Each conflict means that another change was accepted, so the system as a whole makes progress.
 constexpr int max_commit_attempts = 8;
 
+manifest manifest_of(const config_tree& tree)
+{
+    manifest result;
+    for (const config_tree::value_type& entry : tree) {
+        result[entry.first] = sha256_hex(entry.second);
+    }
+    return result;
+}
+
 class apply_job : public std::enable_shared_from_this<apply_job> {
 public:
-    apply_job(config_store& store, apply_request request, local_tree_source local_tree,
+    apply_job(config_store& store, apply_request request, local_configuration_source local,
               std::function<void(absl::StatusOr<apply_result>)> done)
-        : store_(store), request_(std::move(request)), local_tree_(std::move(local_tree)),
+        : store_(store), request_(std::move(request)), local_source_(std::move(local)),
           done_(std::move(done))
     {
     }
@@ -36,6 +46,12 @@
             return;
         }
         base_ = *result;
+        local_ = local_source_();
+        // The head may also be stale, which fails the commit.
+        if (platform_lost_versions()) {
+            on_manifest(manifest_of(local_.tree));
+            return;
+        }
         if (base_.version == 0) {
             on_manifest(manifest());
             return;
@@ -46,6 +62,10 @@
         });
     }
 
+    bool platform_lost_versions() const { return base_.version < local_.version; }
+
+    config_version next_version() const { return std::max(base_.version, local_.version) + 1; }
+
     void on_manifest(const absl::StatusOr<manifest>& result)
     {
         if (!result.ok()) {
@@ -78,7 +98,7 @@
     void collect_documents()
     {
         std::map<std::string, std::string> local_documents_by_id;
-        for (const config_tree::value_type& local_document : local_tree_()) {
+        for (const config_tree::value_type& local_document : local_.tree) {
             local_documents_by_id.emplace(sha256_hex(local_document.second), local_document.second);
         }
         documents_.clear();
@@ -133,7 +153,7 @@
             documents_[request_.subtree] = request_.document;
         }
         const absl::StatusOr<std::shared_ptr<const snapshot>> built =
-            build_snapshot(documents_, base_.version + 1, "");
+            build_snapshot(documents_, next_version(), "");
         if (!built.ok()) {
             done_(built.status());
             return;
@@ -157,6 +177,12 @@
         change_.document = request_.document;
         change_.base = base_;
         change_.base_manifest = base_tree_;
+        change_.newest_known = local_.version;
+        if (platform_lost_versions()) {
+            for (const config_tree::value_type& entry : local_.tree) {
+                change_.lost_documents.push_back(entry.second);
+            }
+        }
         const std::shared_ptr<apply_job> self = shared_from_this();
         store_.commit(change_, [self](const absl::StatusOr<accepted_change>& result) {
             self->on_committed(result);
@@ -182,7 +208,8 @@
 
     config_store& store_;
     apply_request request_;
-    local_tree_source local_tree_;
+    local_configuration_source local_source_;
+    local_configuration local_; ///< When the head was read.
     std::function<void(absl::StatusOr<apply_result>)> done_;
     head base_;
     manifest base_tree_;
@@ -197,10 +224,10 @@
 
 } // namespace
 
-void apply_change(config_store& store, apply_request request, local_tree_source local_tree,
+void apply_change(config_store& store, apply_request request, local_configuration_source local,
                   std::function<void(absl::StatusOr<apply_result>)> done)
 {
-    std::make_shared<apply_job>(store, std::move(request), std::move(local_tree), std::move(done))
+    std::make_shared<apply_job>(store, std::move(request), std::move(local), std::move(done))
         ->start();
 }
 
--- a/src/endpoints_config.cpp
+++ b/src/endpoints_config.cpp
@@ -98,7 +98,10 @@
     request.document = *document;
     apply_change(
         context.control.store(), std::move(request),
-        [&context] { return context.control.config_distributor().tree(); },
+        [&context] {
+            const distributor& distribution = context.control.config_distributor();
+            return local_configuration{distribution.in_force(), distribution.tree()};
+        },
         [&context, exchange = call.exchange](const absl::StatusOr<apply_result>& result) {
             respond_to_apply(context, *exchange, result);
         });
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -193,8 +193,12 @@
             tree[request_.subtree] = object_id_;
             objects_.emplace_back(object_id_, request_.document);
         }
+        for (const std::string& document : request_.lost_documents) {
+            objects_.emplace_back(sha256_hex(document), document);
+        }
         std::string tree_bytes = encode_manifest(tree);
-        accepted_ = {request_.base.version + 1, sha256_hex(tree_bytes), request_.id};
+        const config_version newest = std::max(request_.base.version, request_.newest_known);
+        accepted_ = {newest + 1, sha256_hex(tree_bytes), request_.id};
         objects_.emplace_back(accepted_.manifest_id, std::move(tree_bytes));
         put_next_object();
     }
--- a/test/apply_job-test.cpp
+++ b/test/apply_job-test.cpp
@@ -37,7 +37,7 @@
     void start(apply_request request, std::optional<result>& outcome)
     {
         apply_change(
-            store, std::move(request), [] { return config_tree(); },
+            store, std::move(request), [this] { return in_force; },
             [&outcome](result finished) { outcome = std::move(finished); });
     }
 
@@ -60,6 +60,7 @@
     manual_timer_service timers;
     memory_platform driver{timers};
     config_store store{driver};
+    local_configuration in_force; ///< On the node of the operator's request.
 };
 
 } // namespace
@@ -70,16 +71,49 @@
     EXPECT_EQ(apply("a/y", document("s2"), "c2")->value().accepted.accepted.version, 2U);
 }
 
-// Guards against a change that is never in force: nodes that hold a version do not take another one
-// with the same number.
+// Guards against a change that is never in force, since nodes that hold a version do not take
+// another one with the same number, and against the silent loss of the change that was in force
+// before.
 TEST_F(apply_job, version_is_not_given_out_again_after_a_return_from_a_copy)
 {
     ASSERT_TRUE(apply("a/x", document("s1"), "c1")->ok());
     driver.save_copy();
     const config_version lost =
         apply("a/x", document("s2"), "c2")->value().accepted.accepted.version;
+    in_force = {lost, {{"a/x", document("s2")}}};
     driver.restore_copy();
-    EXPECT_GT(apply("a/y", document("s3"), "c3")->value().accepted.accepted.version, lost);
+    const std::optional<result> next = apply("a/y", document("s3"), "c3");
+    ASSERT_TRUE(next && next->ok());
+    EXPECT_GT((*next)->accepted.accepted.version, lost);
+    const head accepted = (*next)->accepted.accepted;
+    absl::StatusOr<manifest> tree;
+    store.read_manifest(accepted.manifest_id,
+                        [&tree](absl::StatusOr<manifest> read) { tree = std::move(read); });
+    ASSERT_TRUE(tree.ok());
+    absl::StatusOr<std::string> kept;
+    store.read_object((*tree)["a/x"],
+                      [&kept](absl::StatusOr<std::string> read) { kept = std::move(read); });
+    ASSERT_TRUE(kept.ok());
+    EXPECT_EQ(*kept, document("s2"));
+    EXPECT_EQ(tree->count("a/y"), 1U);
+}
+
+// Guards against a change on a stale head that replaces newer ones, as if the platform had lost
+// them.
+TEST_F(apply_job, stale_head_does_not_replace_newer_versions)
+{
+    ASSERT_TRUE(apply("a/x", document("s1"), "c1")->ok());
+    platform_faults stale;
+    stale.stale_reads = true;
+    driver.set_faults(stale);
+    ASSERT_TRUE(apply("a/y", document("s2"), "c2")->ok());
+    in_force = {2, {{"a/x", document("s1")}, {"a/y", document("s2")}}};
+    std::optional<result> third;
+    start({"a/z", document("s3"), "c3", "operator-1", false}, third);
+    ASSERT_TRUE(third);
+    EXPECT_FALSE(third->ok());
+    driver.set_faults({});
+    EXPECT_EQ(apply("a/z", document("s3"), "c4")->value().accepted.accepted.version, 3U);
 }
 
 TEST_F(apply_job, change_that_makes_the_tree_invalid_is_refused)
