sidecar: move feeds, entries and versions to a file of their own

Change: what concerns the platform and the versions of peers is in sidecar_platform.cpp; limits_of and configuration_path are shared by sidecar_impl.h.

--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -25,6 +25,12 @@
 class caller_request;
 class gate_request;
 
+/// The path under which a node serves its configuration to other nodes.
+inline constexpr std::string_view configuration_path = "/agatespread/configuration";
+
+/// Returns the limits of a listener for callers or other nodes.
+http_limits limits_of(const caller_limits& limits, std::size_t connections);
+
 /// The metrics of one rule, looked up once.
 struct rule_series {
     rule_series(metrics& data, const std::string& rule);
--- /dev/null
+++ b/src/sidecar_platform.cpp
@@ -0,0 +1,290 @@
+#include "deflate.h"
+#include "sidecar_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Nodes of each failure domain that read the configuration from the platform; the others fetch it
+// from these. Two, so that the loss of one causes no delay.
+constexpr std::size_t readers_per_domain = 2;
+
+// A reader waits this long for its own feed before it fetches a version from a peer. The other
+// nodes fetch with jitter, from another failure domain only if no node of their own has the
+// version.
+constexpr milliseconds reader_fetch_delay{400};
+constexpr milliseconds near_fetch_jitter{150};
+constexpr milliseconds far_fetch_delay{300};
+constexpr milliseconds fetch_timeout{1000};
+constexpr std::size_t max_configuration_bytes = 8U << 20U;
+
+// The longest delay before a node writes its entry again. All nodes do so after an outage or when
+// the platform has returned from an older copy, so the delay grows with the number of nodes.
+constexpr milliseconds entry_retry_delay{500};
+constexpr milliseconds entry_spacing{5};
+
+// Delays between the polls of a feed; changes within a delay arrive in one response. The delay of
+// the configuration feed puts a version in force well within the platform's bound of 2 s. The feed
+// of entries may be slow: new nodes announce themselves by their reports, and the feed covers nodes
+// whose reports are lost.
+constexpr milliseconds configuration_poll_delay{200};
+constexpr milliseconds entries_poll_delay = std::chrono::seconds(30);
+
+// Connections to the platform may fall silent, and its return from an older copy shows only in a
+// response. Polls are therefore short: both are noticed, and another node of the failure domain
+// becomes a reader, well within 3 s.
+constexpr milliseconds configuration_poll_timeout = std::chrono::seconds(1);
+
+} // namespace
+
+void sidecar::impl::watch_platform()
+{
+    row_watch_options configuration_times;
+    configuration_times.poll_delay = configuration_poll_delay;
+    configuration_times.long_poll_timeout = configuration_poll_timeout;
+    configuration_watch = std::make_unique<row_watch>(driver, loop, dialect.configuration_prefix,
+                                                      configuration_times, random);
+    configuration_watch->start(
+        [this](const row_changes& changes) { apply_configuration_rows(changes); },
+        health_logger("configuration_feed"));
+    row_watch_options entry_times;
+    entry_times.poll_delay = entries_poll_delay;
+    entries_watch =
+        std::make_unique<row_watch>(driver, loop, settings.entries_prefix, entry_times, random);
+    write_entry();
+}
+
+void sidecar::impl::read_entries()
+{
+    if (watching_entries) {
+        entries_watch->restart();
+        return;
+    }
+    watching_entries = true;
+    entries_watch->start([this](const row_changes& changes) { apply_entries(changes); },
+                         health_logger("entries_feed"));
+}
+
+row_watch::health_hook sidecar::impl::health_logger(const char* dependency)
+{
+    return [this, dependency](const absl::Status& status) {
+        if (status.ok()) {
+            log.change("dependency_regained", {{"dependency", dependency}});
+            return;
+        }
+        counters.platform_errors.add();
+        log.change("dependency_lost",
+                   {{"dependency", dependency}, {"error", std::string(status.message())}});
+    };
+}
+
+void sidecar::impl::learn_platform_era(std::uint64_t era)
+{
+    if (era <= platform_era) {
+        return;
+    }
+    const std::uint64_t before = std::exchange(platform_era, era);
+    if (before == 0) {
+        return;
+    }
+    log.change("platform_rolled_back", {{"era", era}, {"before", before}});
+    entry_written = false;
+    schedule_entry();
+    blocks.repeat_writes();
+}
+
+void sidecar::impl::apply_configuration_rows(const row_changes& changes)
+{
+    learn_platform_era(changes.position.era);
+    for (const row_write& row : changes.rows) {
+        if (row.key == dialect.configuration_key && row.value) {
+            apply_configuration(*row.value, "platform");
+        }
+    }
+}
+
+bool sidecar::impl::apply_configuration(const std::string& next, std::string_view source)
+{
+    absl::StatusOr<std::shared_ptr<const routing_table>> read = dialect.read_configuration(next);
+    const config_version before = table ? table->version() : 0;
+    if (!read.ok()) {
+        log.change("configuration_rejected", {{"source", source},
+                                              {"in_force", before},
+                                              {"error", std::string(read.status().message())}});
+        return false;
+    }
+    if ((*read)->version() <= before) {
+        return false;
+    }
+    table = *std::move(read);
+    document = detail::deflate_bytes(next);
+    counters.version.set(static_cast<std::int64_t>(table->version()));
+    caller_listener->set_limits(detail::limits_of(table->limits(), settings.caller_connections));
+    log.change("configuration_in_force", {{"version", table->version()},
+                                          {"before", before},
+                                          {"rules", static_cast<std::uint64_t>(table->size())},
+                                          {"source", source}});
+    send_report();
+    return true;
+}
+
+peer_entry sidecar::impl::own_entry() const
+{
+    return {settings.node, settings.failure_domain, settings.service, call_listener->address(),
+            settings.report_address};
+}
+
+void sidecar::impl::apply_entries(const row_changes& changes)
+{
+    const time_point now = loop.now();
+    const std::string own_key = settings.entries_prefix + settings.node;
+    learn_platform_era(changes.position.era);
+    if (changes.complete) {
+        entry_written = false;
+    }
+    for (const row_write& row : changes.rows) {
+        const node_id node = row.key.substr(settings.entries_prefix.size());
+        if (!row.value) {
+            known_peers.remove(node, now);
+            if (row.key == own_key) {
+                entry_written = false;
+            }
+            continue;
+        }
+        const absl::StatusOr<peer_entry> entry = decode_entry(*row.value);
+        if (!entry.ok() || entry->node != node) {
+            log.change("entry_malformed", {{"key", row.key}});
+            continue;
+        }
+        if (row.key == own_key) {
+            entry_written = *entry == own_entry();
+            continue;
+        }
+        known_peers.add_entry(*entry, now);
+    }
+    counters.peers_known.set(static_cast<std::int64_t>(known_peers.size()));
+    if (!entry_written) {
+        schedule_entry();
+    }
+    send_report();
+}
+
+void sidecar::impl::schedule_entry()
+{
+    const milliseconds longest =
+        std::max<milliseconds>(entry_retry_delay, entry_spacing * known_peers.size());
+    entry_timer = loop.after(uniform_between(random, milliseconds(1), longest),
+                             [this](time_point) { write_entry(); });
+}
+
+void sidecar::impl::write_entry()
+{
+    if (entry_written || entry_in_flight || stopping) {
+        return;
+    }
+    entry_in_flight = true;
+    transaction write;
+    write.writes.push_back({settings.entries_prefix + settings.node, encode_entry(own_entry())});
+    driver.commit(std::move(write), [weak = weak_from_this(), era = platform_era](
+                                        const absl::StatusOr<transaction_result>& result) {
+        if (const std::shared_ptr<impl> self = weak.lock()) {
+            self->entry_in_flight = false;
+            self->on_entry_written(result.status(), era);
+        }
+    });
+}
+
+void sidecar::impl::on_entry_written(const absl::Status& status, std::uint64_t era)
+{
+    if (!status.ok()) {
+        counters.platform_errors.add();
+        log.change("entry_not_written", {{"error", std::string(status.message())}});
+        schedule_entry();
+        return;
+    }
+    log.change("entry_written", {{"era", era}});
+    entry_written = era == 0 || era == platform_era;
+    if (!entry_written) {
+        schedule_entry();
+        return;
+    }
+    // Reading after the write ensures that of two nodes that start together, the one that reads
+    // last finds the other's entry and announces itself there by its reports.
+    read_entries();
+}
+
+milliseconds sidecar::impl::fetch_delay(const peer_entry& ahead) const
+{
+    if (!table) {
+        return milliseconds(1);
+    }
+    if (reading_configuration && !configuration_watch->failing()) {
+        return reader_fetch_delay;
+    }
+    const bool same_domain = ahead.failure_domain == settings.failure_domain;
+    return uniform_between(random, same_domain ? milliseconds(1) : far_fetch_delay,
+                           same_domain ? near_fetch_jitter : far_fetch_delay + near_fetch_jitter);
+}
+
+void sidecar::impl::fetch_from_peer()
+{
+    const config_version before = table ? table->version() : 0;
+    std::vector<peer_entry> ahead = known_peers.ahead_of(before, true, loop.now());
+    if (ahead.empty()) {
+        ahead = known_peers.ahead_of(before, false, loop.now());
+    }
+    if (ahead.empty()) {
+        fetch_in_flight = false;
+        return;
+    }
+    // A random peer, so that no single link carries the document to all nodes.
+    const peer_entry& peer = ahead[uniform_below(random, ahead.size())];
+    http_call call;
+    call.url = "http://" + peer.call_address + std::string(detail::configuration_path);
+    call.timeout = fetch_timeout;
+    call.max_response_bytes = max_configuration_bytes;
+    call.new_connection = true; // An idle one may have fallen silent.
+    client.send(std::move(call),
+                [weak = weak_from_this(), node = peer.node](const http_result& result) {
+                    const std::shared_ptr<impl> self = weak.lock();
+                    if (self) {
+                        self->fetch_in_flight = false;
+                        self->handle_fetched_configuration(result, node);
+                    }
+                });
+}
+
+void sidecar::impl::handle_fetched_configuration(const http_result& result, const node_id& node)
+{
+    if (result.outcome != http_outcome::answered || result.response.status != 200) {
+        log.change("configuration_fetch_failed", {{"peer", node}, {"error", result.error}});
+        return;
+    }
+    const absl::StatusOr<std::string> fetched =
+        detail::inflate_bytes(result.response.body, max_configuration_bytes);
+    if (!fetched.ok()) {
+        log.change("configuration_fetch_failed",
+                   {{"peer", node}, {"error", std::string(fetched.status().message())}});
+        return;
+    }
+    apply_configuration(*fetched, node);
+}
+
+void sidecar::impl::update_reader_role(time_point now)
+{
+    // Without a version in force each node is a reader, because possibly no peer has a version.
+    const bool reads = !table || known_peers.is_reader(readers_per_domain, now);
+    if (reads != reading_configuration) {
+        reading_configuration = reads;
+        log.change(reads ? "reader_started" : "reader_stopped",
+                   {{"version", table ? table->version() : 0}});
+    }
+    configuration_watch->set_active(reads);
+}
+
+} // namespace agatespread
