crash guard test: a queued suspect runs although another node has blocked it (red)

A suspect that holds the suspect slot of its node may wait for a slot of a busy upstream. A block or a trial of another node that arrives meanwhile is ignored: try_start asks again only for calls without the suspect slot.

--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -136,6 +136,49 @@
 }
 
 // Guards against an upstream that ends silently, so that no call loses its connection.
+// Guards against a suspect that waits for a slot of a busy upstream while another node blocks it.
+TEST(crash_guard, queued_suspect_is_refused_after_a_block)
+{
+    crash_guard guard{crash_guard_options()};
+    guard.suspect(7, start);
+    ASSERT_EQ(guard.enter(1, 7, false, start).verdict, guard_verdict::pass);
+    guard.receive(make_block_report(7, 1, seconds(40)), start + milliseconds(100));
+    const guard_decision decision = guard.try_start(1, start + milliseconds(400));
+    EXPECT_EQ(decision.verdict, guard_verdict::refuse);
+    EXPECT_EQ(decision.retry_after, milliseconds(39700));
+    EXPECT_FALSE(decision.trial);
+    // The next suspect does not wait for the refused one.
+    guard.suspect(8, start + milliseconds(400));
+    EXPECT_EQ(guard.enter(2, 8, false, start + milliseconds(400)).verdict, guard_verdict::pass);
+}
+
+// The same for a trial on another node: two trials at a time end two upstreams.
+TEST(crash_guard, queued_suspect_is_refused_during_a_trial_of_another_node)
+{
+    crash_guard guard{crash_guard_options()};
+    crash_report second_crash;
+    second_crash.crashes = 2;
+    second_crash.suspects = {7};
+    guard.receive(second_crash, start);
+    ASSERT_EQ(guard.enter(1, 7, false, start).verdict, guard_verdict::pass);
+    guard.receive(make_block_report(7, 0, seconds(3)), start + milliseconds(100));
+    EXPECT_EQ(guard.try_start(1, start + milliseconds(400)).verdict, guard_verdict::refuse);
+}
+
+// Guards against suspects that wait forever behind a queued one that was refused.
+TEST(crash_guard, refused_queued_suspect_releases_the_waiting_ones)
+{
+    crash_guard guard{crash_guard_options()};
+    guard.suspect(7, start);
+    guard.suspect(8, start);
+    ASSERT_EQ(guard.enter(1, 7, false, start).verdict, guard_verdict::pass);
+    ASSERT_EQ(guard.enter(2, 8, false, start).verdict, guard_verdict::wait);
+    guard.receive(make_block_report(7, 1, seconds(40)), start + milliseconds(100));
+    ASSERT_EQ(guard.try_start(1, start + milliseconds(200)).verdict, guard_verdict::refuse);
+    const guard_actions next = guard.leave(1, call_end::not_run, start + milliseconds(200));
+    EXPECT_EQ(next.pass, std::vector<std::uint64_t>{2});
+}
+
 TEST(crash_guard, unanswered_calls_are_in_flight_at_a_crash_that_becomes_known_later)
 {
     crash_guard guard({});
