--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -148,8 +148,9 @@
 
     /// Checks a call again right before it is sent to the upstream and marks it as running.
     ///
-    /// The fingerprint may have become suspect while the call was queued for a slot. On `wait` the
-    /// caller returns the slot, and the call is released as after `enter`.
+    /// The fingerprint may have become suspect, or blocked by another node, while the call was
+    /// queued for a slot. The caller then returns the slot; on `wait` the call is released as after
+    /// `enter`, on `refuse` the caller ends it by `leave`.
     guard_decision try_start(std::uint64_t call, time_point now);
 
     /// Ends a call that got a response or was not run.
