sidecar crash test: a request whose query differs in each send is never blocked (red)

The fingerprint of a request holds its host, method, path, query and body, so a request that ends its upstreams whatever its query says has a new fingerprint with each query.

--- a/test/crash_model.cpp
+++ b/test/crash_model.cpp
@@ -36,7 +36,8 @@
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         start_node(index);
     }
-    every(options.crash_period, [this] { send(crashing_request); });
+    every(options.crash_period,
+          [this] { send(crashing_request, options_.returns_after_refusal); });
     every(options.node_restart_period, [this] { stop_node(below(nodes_.size())); });
     every(options.all_nodes_restart_period, [this] {
         for (std::size_t index = 0; index < nodes_.size(); ++index) {
@@ -110,16 +111,26 @@
     }
     node.up = false;
     node.calls.clear();
+    node.queue.clear();
     queue_.after(node_restart_time, [this, index] { start_node(index); });
 }
 
 void crash_model::send_harmless()
 {
     ++harmless_sent_;
-    send(std::discrete_distribution<std::uint64_t>(weights_.begin(), weights_.end())(engine_));
+    send(std::discrete_distribution<std::uint64_t>(weights_.begin(), weights_.end())(engine_), 0);
 }
 
-void crash_model::send(std::uint64_t fingerprint)
+void crash_model::return_later(std::uint64_t fingerprint, std::size_t returns,
+                               milliseconds retry_after)
+{
+    if (returns > 0) {
+        queue_.after(retry_after,
+                     [this, fingerprint, returns] { send(fingerprint, returns - 1); });
+    }
+}
+
+void crash_model::send(std::uint64_t fingerprint, std::size_t returns)
 {
     const model_node& caller = nodes_[below(nodes_.size())];
     if (!caller.up) {
@@ -128,6 +139,7 @@
     const guard_check known = caller.guard->check(fingerprint, queue_.now());
     if (known.state == suspicion::blocked) {
         record_refusal(fingerprint);
+        return_later(fingerprint, returns, known.retry_after);
         return;
     }
     std::vector<std::size_t> gates;
@@ -142,11 +154,30 @@
     const std::size_t gate = gates[below(gates.size())];
     queue_.after(network_delay,
                  [this, gate, fingerprint, suspect = known.state == suspicion::suspect] {
-                     deliver(gate, fingerprint, suspect);
+                     deliver(gate, fingerprint, suspect, false);
                  });
 }
 
-void crash_model::deliver(std::size_t gate, std::uint64_t fingerprint, bool suspect)
+void crash_model::retry(std::size_t crashed_gate, const model_call& call)
+{
+    if (!options_.retries_after_crash || call.retried) {
+        return;
+    }
+    std::vector<std::size_t> gates;
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        if (index != crashed_gate && nodes_[index].up && nodes_[index].gate_open) {
+            gates.push_back(index);
+        }
+    }
+    if (!gates.empty()) {
+        const std::size_t gate = gates[below(gates.size())];
+        queue_.after(2 * network_delay, [this, gate, fingerprint = call.fingerprint] {
+            deliver(gate, fingerprint, true, true);
+        });
+    }
+}
+
+void crash_model::deliver(std::size_t gate, std::uint64_t fingerprint, bool suspect, bool retried)
 {
     model_node& node = nodes_[gate];
     if (!node.up || !node.gate_open) {
@@ -154,14 +185,14 @@
     }
     const std::uint64_t id = ++next_id_;
     const time_point now = queue_.now();
-    node.calls[id] = {fingerprint, 0, now + request_timeout, false};
+    node.calls[id] = {fingerprint, 0, now + request_timeout, false, retried};
     queue_.after(request_timeout, [this, gate, id] { end_at_deadline(gate, id); });
     queue_.after(silence_timeout, [this, gate, process = node.process] {
         queue_.after(probe_timeout, [this, gate, process] { end_running(gate, process); });
     });
     const guard_decision entry = node.guard->enter(id, fingerprint, suspect, now);
     if (entry.verdict == guard_verdict::pass) {
-        start_call(gate, id);
+        offer_call(gate, id);
     }
     else if (entry.verdict == guard_verdict::refuse) {
         node.calls.erase(id);
@@ -169,37 +200,71 @@
     }
 }
 
-void crash_model::start_call(std::size_t gate, std::uint64_t id)
+bool crash_model::has_free_slot(const model_node& node)
+{
+    const auto is_running = [](const std::pair<const std::uint64_t, model_call>& each) {
+        return each.second.running;
+    };
+    return std::count_if(node.calls.begin(), node.calls.end(), is_running) < slots;
+}
+
+void crash_model::offer_call(std::size_t gate, std::uint64_t id)
 {
     model_node& node = nodes_[gate];
     const auto found = node.calls.find(id);
     if (found == node.calls.end()) {
         return;
     }
-    const auto is_running = [](const std::pair<const std::uint64_t, model_call>& each) {
-        return each.second.running;
-    };
-    const std::ptrdiff_t running = std::count_if(node.calls.begin(), node.calls.end(), is_running);
-    if (!node.gate_open || running >= slots) {
-        node.calls.erase(found);
-        apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
+    if (node.gate_open && has_free_slot(node)) {
+        start_call(gate, id);
+        return;
+    }
+    if (node.gate_open && node.queue.size() < options_.queue_length) {
+        node.queue.push_back(id);
+        return;
+    }
+    node.calls.erase(found);
+    apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
+}
+
+void crash_model::start_queued(std::size_t gate)
+{
+    model_node& node = nodes_[gate];
+    while (!node.queue.empty() && (!node.gate_open || has_free_slot(node))) {
+        const std::uint64_t id = node.queue.front();
+        node.queue.pop_front();
+        if (node.gate_open) {
+            start_call(gate, id);
+        }
+        else if (node.calls.erase(id) > 0) {
+            apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
+        }
+    }
+}
+
+void crash_model::start_call(std::size_t gate, std::uint64_t id)
+{
+    model_node& node = nodes_[gate];
+    const auto found = node.calls.find(id);
+    if (found == node.calls.end()) {
         return;
     }
     const guard_decision entry = node.guard->try_start(id, queue_.now());
     if (entry.verdict == guard_verdict::refuse) {
         record_refusal(found->second.fingerprint);
         node.calls.erase(found);
+        apply(gate, node.guard->leave(id, call_end::not_run, queue_.now()));
     }
     if (entry.verdict != guard_verdict::pass) {
         return;
     }
+    found->second.running = true;
+    found->second.upstream_incarnation = node.upstream_incarnation;
     if (entry.trial) {
         guard_actions trial;
         trial.reports.push_back(*entry.trial);
         apply(gate, trial);
     }
-    found->second.running = true;
-    found->second.upstream_incarnation = node.upstream_incarnation;
     if (!node.upstream_up) {
         return; // Stays without an answer until its deadline.
     }
@@ -290,8 +355,10 @@
         }
     }
     for (const std::uint64_t id : lost) {
+        const model_call call = node.calls.at(id);
         node.calls.erase(id);
         apply(index, node.guard->crashed(id, queue_.now()));
+        retry(index, call);
     }
 }
 
@@ -345,8 +412,9 @@
         }
     }
     for (const std::uint64_t id : actions.pass) {
-        start_call(index, id);
+        offer_call(index, id);
     }
+    start_queued(index);
 }
 
 void crash_model::send_reports(std::size_t from, std::size_t to, std::vector<crash_report> reports)
--- a/test/crash_model.h
+++ b/test/crash_model.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,11 @@
     double requests_per_second = 200;
     std::size_t distinct_requests = 100; ///< With a frequency of 1, 1/2, 1/3 and so on.
     double server_error_ratio = 0;       ///< Share of the requests that an upstream fails at once.
+    std::size_t queue_length = 0;        ///< Calls that wait at a node for a slot of its upstream.
+    /// Callers' nodes send a request whose upstream crashed to one further upstream.
+    bool retries_after_crash = false;
+    /// Callers that are refused return after the time that the refusal names, this many times.
+    std::size_t returns_after_refusal = 0;
 };
 
 /// Replays load and faults on the crash guards of many nodes, without sockets and real time.
@@ -66,12 +72,14 @@
         std::uint64_t upstream_incarnation = 0;
         time_point deadline;
         bool running = false;
+        bool retried = false; ///< Its first upstream has crashed.
     };
 
     struct model_node {
         std::unique_ptr<crash_guard> guard;
         std::unique_ptr<detail::crash_sharing> sharing;
         std::map<std::uint64_t, model_call> calls;
+        std::deque<std::uint64_t> queue; ///< Calls without a slot.
         std::uint64_t process = 0;
         bool up = false;
         bool upstream_up = true;
@@ -89,8 +97,14 @@
     void stop_node(std::size_t index);
     void every(std::chrono::milliseconds period, std::function<void()> call);
     void send_harmless();
-    void send(std::uint64_t fingerprint);
-    void deliver(std::size_t gate, std::uint64_t fingerprint, bool suspect);
+    void send(std::uint64_t fingerprint, std::size_t returns);
+    void return_later(std::uint64_t fingerprint, std::size_t returns,
+                      std::chrono::milliseconds retry_after);
+    void deliver(std::size_t gate, std::uint64_t fingerprint, bool suspect, bool retried);
+    void retry(std::size_t crashed_gate, const model_call& call);
+    static bool has_free_slot(const model_node& node);
+    void offer_call(std::size_t gate, std::uint64_t id);
+    void start_queued(std::size_t gate);
     void start_call(std::size_t gate, std::uint64_t id);
     void run_crashing(std::size_t gate, std::uint64_t id);
     void run_to_response(std::size_t gate, std::uint64_t id, bool failed);
--- a/test/sidecar-crash-test.cpp
+++ b/test/sidecar-crash-test.cpp
@@ -18,6 +18,9 @@
 
 constexpr int max_ended_upstreams = 2;
 
+// The users allow three after the third; the first of several queries tell nothing of their path.
+constexpr int max_ended_upstreams_of_a_path = 6;
+
 // Within this time of its start a node knows what its peers and the platform know.
 constexpr seconds stable_window{3};
 
@@ -137,11 +140,12 @@
     }
 
     /// Sends the request; returns the status of the response.
-    int send_crash(crash_host& to, milliseconds timeout = seconds(10))
+    int send_crash(crash_host& to, milliseconds timeout = seconds(10),
+                   const std::string& query = {})
     {
         http_call call;
-        call.url =
-            "http://" + thread.call([&to] { return to.node->caller_address(); }) + "/x/crash";
+        call.url = "http://" + thread.call([&to] { return to.node->caller_address(); }) +
+                   "/x/crash" + query;
         call.request.headers.set("Host", "mesh.example");
         call.request.headers.set(id_header, "crash-" + std::to_string(++sent));
         call.timeout = timeout;
@@ -302,6 +306,17 @@
     EXPECT_LE(a.ended, max_ended_upstreams);
 }
 
+// Guards against a count for each value of a query that the upstream ignores, such as a time stamp.
+TEST_F(sidecar_crash, request_is_blocked_although_its_query_differs)
+{
+    start_host(a, "a", "rounds");
+    for (int count = 0; count < 10; ++count) {
+        send_crash(a, seconds(10), "?n=" + std::to_string(count));
+        restart_upstream(a);
+    }
+    EXPECT_LE(a.ended, max_ended_upstreams_of_a_path);
+}
+
 // Guards against a count for each caller's service.
 TEST_F(sidecar_crash, request_is_blocked_for_all_callers)
 {
