sidecar: log messages of the upstream that are acknowledged and ignored

A heartbeat or deregistration of another process than the current one, or with an old sequence number, is acknowledged and changes nothing. No decision has changed. Measured: upstream_lifecycle tests pass with the new count.

--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -53,6 +53,9 @@
     /// Returns how many incarnations were replaced by a later one.
     std::uint64_t replacements() const { return replacements_; }
 
+    /// Returns how many messages of earlier or unknown incarnations changed nothing.
+    std::uint64_t ignored_messages() const { return ignored_messages_; }
+
     /// Returns whether the incarnation that was replaced last had announced its exit.
     bool exit_announced() const { return exit_announced_; }
 
@@ -67,6 +70,7 @@
     bool heartbeat_received_ = false;
     bool left_service_ = false; ///< This incarnation is draining or deregistered.
     std::uint64_t replacements_ = 0;
+    std::uint64_t ignored_messages_ = 0;
     bool exit_announced_ = false;
 };
 
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -335,6 +335,16 @@
     apply(gate.set_upstream(state, upstream.slots(), loop.now()));
 }
 
+void sidecar::impl::log_ignored_message(const std::string& instance, milliseconds started_at,
+                                        std::string_view reported)
+{
+    log.change("upstream_message_ignored", {{"instance", instance},
+                                            {"started_at", started_at},
+                                            {"reported", reported},
+                                            {"current", upstream.instance()},
+                                            {"state", name_of(upstream.state())}});
+}
+
 void sidecar::impl::mark_upstream_unreachable(std::string_view cause)
 {
     apply(upstream.mark_unreachable(), cause);
@@ -555,7 +565,12 @@
 {
     const std::uint32_t slots_before = impl_->upstream.slots();
     const std::uint64_t replacements_before = impl_->upstream.replacements();
+    const std::uint64_t ignored_before = impl_->upstream.ignored_messages();
     const lifecycle_change change = impl_->upstream.receive(heartbeat);
+    if (impl_->upstream.ignored_messages() != ignored_before) {
+        impl_->log_ignored_message(heartbeat.instance, heartbeat.started_at,
+                                   heartbeat.draining ? "draining" : "ready");
+    }
     if (impl_->upstream.replacements() != replacements_before) {
         impl_->apply(
             impl_->guard.upstream_replaced(impl_->upstream.exit_announced(), impl_->loop.now()),
@@ -570,7 +585,11 @@
 
 void sidecar::deregister_upstream(const std::string& instance, std::chrono::milliseconds started_at)
 {
+    const std::uint64_t ignored_before = impl_->upstream.ignored_messages();
     impl_->apply(impl_->upstream.deregister(instance, started_at), "deregistered");
+    if (impl_->upstream.ignored_messages() != ignored_before) {
+        impl_->log_ignored_message(instance, started_at, "deregistered");
+    }
 }
 
 void sidecar::shut_down(std::function<void()> done)
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -108,6 +108,8 @@
 
     void probe_upstream();
     void apply(lifecycle_change change, std::string_view cause);
+    void log_ignored_message(const std::string& instance, std::chrono::milliseconds started_at,
+                             std::string_view reported);
     void update_gate(upstream_state state);
     upstream_state gate_state() const;
     void apply_announcements(const upstream_response_metadata& response,
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -21,6 +21,7 @@
                                   heartbeat.instance == instance_;
     const bool earlier_incarnation = heartbeat_received_ && heartbeat.started_at < started_at_;
     if (earlier_incarnation || (same_incarnation && heartbeat.sequence <= sequence_)) {
+        ++ignored_messages_;
         return lifecycle_change::none;
     }
     if (heartbeat_received_ && !same_incarnation) {
@@ -46,6 +47,7 @@
         heartbeat_received_ &&
         (instance != instance_ || (started_at.count() != 0 && started_at < started_at_));
     if (other_incarnation) {
+        ++ignored_messages_;
         return lifecycle_change::none;
     }
     if (!heartbeat_received_ || started_at > started_at_) {
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -86,6 +86,7 @@
     EXPECT_EQ(upstream.instance(), "b");
     EXPECT_EQ(upstream.deregister("a", milliseconds(10)), lifecycle_change::none);
     EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_EQ(upstream.ignored_messages(), 2U);
 }
 
 // Guards against the end of an upstream process that goes unnoticed because it was restarted at
