upstream lifecycle test: the gate opens for an upstream that has left (red)

A process may leave before the node knows it: its first heartbeat is late, or the node has just restarted.

--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -66,6 +66,44 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
+// Guards against a process that leaves before its first heartbeat arrives, which opens the gate when
+// it does.
+TEST(upstream_lifecycle, deregistration_precedes_the_first_heartbeat_of_an_incarnation)
+{
+    upstream_lifecycle upstream;
+    upstream.receive(heartbeat("a", 10, 1));
+    EXPECT_EQ(upstream.deregister("b", milliseconds(20)), lifecycle_change::closed);
+    EXPECT_EQ(upstream.replacements(), 1U);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 30, 1)), lifecycle_change::opened);
+}
+
+// The same without a start time, so that only the heartbeat tells which process is the later one.
+TEST(upstream_lifecycle, deregistration_without_a_start_time_precedes_the_first_heartbeat)
+{
+    upstream_lifecycle upstream;
+    upstream.receive(heartbeat("a", 10, 1));
+    EXPECT_EQ(upstream.deregister("b", milliseconds(0)), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 2)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::closed);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 30, 1)), lifecycle_change::opened);
+}
+
+// Guards against a node that restarted beside a leaving upstream and learns of that from a response,
+// before a heartbeat that was sent earlier arrives.
+TEST(upstream_lifecycle, response_before_the_first_heartbeat_closes_the_gate_for_good)
+{
+    upstream_lifecycle upstream;
+    upstream.health_check_passed("a", 8);
+    EXPECT_EQ(upstream.mark_leaving(), lifecycle_change::closed);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 5)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::opened);
+}
+
 // Guards against confusing a restarted upstream with its deregistered incarnation of the same id.
 TEST(upstream_lifecycle, next_incarnation_opens_the_gate)
 {
