upstream lifecycle: a deregistration binds an incarnation not heard of before

Requests reached an upstream after the node beside it had acknowledged its deregistration. Cause: a deregistration that named another incarnation than the known one was ignored, whether earlier or later, and a first one without a start time was forgotten with the next heartbeat; the first heartbeat of that process, if late, then opened the gate. Class: an acknowledged message that is not applied. Change: a deregistration with a later start time replaces the known incarnation; one whose order is unknown is remembered until the process sends a heartbeat. The sidecar attributes the end of the replaced process as after a heartbeat.

--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -26,13 +26,15 @@
 ///
 /// An incarnation is identified by its instance and start time. Heartbeats of an earlier
 /// incarnation, and heartbeats with a sequence number that is not higher than the last one, are
-/// ignored. An incarnation that is draining or deregistered is not opened again.
+/// ignored. An incarnation that is draining or deregistered is not opened again, whatever the order
+/// in which its messages arrive.
 class upstream_lifecycle {
 public:
     /// Applies a heartbeat.
     lifecycle_change receive(const upstream_heartbeat& heartbeat);
 
-    /// Applies the deregistration of an incarnation, which is its last message.
+    /// Applies the deregistration of an incarnation, which is its last message but may arrive
+    /// before the first one.
     lifecycle_change deregister(const std::string& instance, std::chrono::milliseconds started_at);
 
     /// Applies a response in which the current incarnation says that it is leaving.
@@ -61,6 +63,7 @@
 
 private:
     lifecycle_change transition_to(upstream_state next);
+    void adopt(const std::string& instance, std::chrono::milliseconds started_at);
 
     std::string instance_;
     std::chrono::milliseconds started_at_{0};
@@ -69,6 +72,8 @@
     upstream_state state_ = upstream_state::gone;
     bool heartbeat_received_ = false;
     bool left_service_ = false; ///< This incarnation is draining or deregistered.
+    /// Deregistered without a start time and not heard of since.
+    std::string departed_instance_;
     std::uint64_t replacements_ = 0;
     std::uint64_t ignored_messages_ = 0;
     bool exit_announced_ = false;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -335,6 +335,14 @@
     apply(gate.set_upstream(state, upstream.slots(), loop.now()));
 }
 
+void sidecar::impl::end_replaced_upstream(std::uint64_t replacements_before)
+{
+    if (upstream.replacements() != replacements_before) {
+        apply(guard.upstream_replaced(upstream.exit_announced(), loop.now()), "replaced");
+        limit_upstream_rate(std::nullopt);
+    }
+}
+
 void sidecar::impl::log_ignored_message(const std::string& instance, milliseconds started_at,
                                         std::string_view reported)
 {
@@ -571,12 +579,7 @@
         impl_->log_ignored_message(heartbeat.instance, heartbeat.started_at,
                                    heartbeat.draining ? "draining" : "ready");
     }
-    if (impl_->upstream.replacements() != replacements_before) {
-        impl_->apply(
-            impl_->guard.upstream_replaced(impl_->upstream.exit_announced(), impl_->loop.now()),
-            "replaced");
-        impl_->limit_upstream_rate(std::nullopt);
-    }
+    impl_->end_replaced_upstream(replacements_before);
     impl_->apply(change, "heartbeat");
     if (change == lifecycle_change::none && impl_->upstream.slots() != slots_before) {
         impl_->update_gate(impl_->upstream.state());
@@ -585,8 +588,11 @@
 
 void sidecar::deregister_upstream(const std::string& instance, std::chrono::milliseconds started_at)
 {
+    const std::uint64_t replacements_before = impl_->upstream.replacements();
     const std::uint64_t ignored_before = impl_->upstream.ignored_messages();
-    impl_->apply(impl_->upstream.deregister(instance, started_at), "deregistered");
+    const lifecycle_change change = impl_->upstream.deregister(instance, started_at);
+    impl_->end_replaced_upstream(replacements_before);
+    impl_->apply(change, "deregistered");
     if (impl_->upstream.ignored_messages() != ignored_before) {
         impl_->log_ignored_message(instance, started_at, "deregistered");
     }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -108,6 +108,8 @@
 
     void probe_upstream();
     void apply(lifecycle_change change, std::string_view cause);
+    /// Applies the end of the upstream if another process has replaced it since the given count.
+    void end_replaced_upstream(std::uint64_t replacements_before);
     void log_ignored_message(const std::string& instance, std::chrono::milliseconds started_at,
                              std::string_view reported);
     void update_gate(upstream_state state);
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -15,6 +15,20 @@
     return before == upstream_state::ready ? lifecycle_change::closed : lifecycle_change::none;
 }
 
+void upstream_lifecycle::adopt(const std::string& instance, std::chrono::milliseconds started_at)
+{
+    if (heartbeat_received_) {
+        ++replacements_;
+        exit_announced_ = left_service_;
+    }
+    left_service_ = instance == departed_instance_;
+    departed_instance_.clear();
+    heartbeat_received_ = true;
+    instance_ = instance;
+    started_at_ = started_at;
+    sequence_ = 0;
+}
+
 lifecycle_change upstream_lifecycle::receive(const upstream_heartbeat& heartbeat)
 {
     const bool same_incarnation = heartbeat_received_ && heartbeat.started_at == started_at_ &&
@@ -24,16 +38,9 @@
         ++ignored_messages_;
         return lifecycle_change::none;
     }
-    if (heartbeat_received_ && !same_incarnation) {
-        ++replacements_;
-        exit_announced_ = left_service_;
-    }
     if (!same_incarnation) {
-        left_service_ = false;
+        adopt(heartbeat.instance, heartbeat.started_at);
     }
-    heartbeat_received_ = true;
-    instance_ = heartbeat.instance;
-    started_at_ = heartbeat.started_at;
     sequence_ = heartbeat.sequence;
     slots_ = heartbeat.slots;
     left_service_ = left_service_ || heartbeat.draining;
@@ -43,19 +50,20 @@
 lifecycle_change upstream_lifecycle::deregister(const std::string& instance,
                                                 std::chrono::milliseconds started_at)
 {
-    const bool other_incarnation =
-        heartbeat_received_ &&
-        (instance != instance_ || (started_at.count() != 0 && started_at < started_at_));
-    if (other_incarnation) {
-        ++ignored_messages_;
+    const bool order_unknown = started_at.count() == 0;
+    if (!heartbeat_received_ || started_at > started_at_) {
+        adopt(instance, started_at);
+        departed_instance_ = order_unknown ? instance : std::string();
+    }
+    else if (order_unknown && instance != instance_) {
+        // An earlier process, or one whose heartbeats are late: its next heartbeat tells.
+        departed_instance_ = instance;
         return lifecycle_change::none;
     }
-    if (!heartbeat_received_ || started_at > started_at_) {
-        instance_ = instance;
-        started_at_ = started_at;
-        sequence_ = 0;
+    else if (instance != instance_ || (!order_unknown && started_at < started_at_)) {
+        ++ignored_messages_;
+        return lifecycle_change::none;
     }
-    heartbeat_received_ = true;
     left_service_ = true;
     return transition_to(upstream_state::draining);
 }
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -66,8 +66,8 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
-// Guards against a process that leaves before its first heartbeat arrives, which opens the gate when
-// it does.
+// Guards against a process that leaves before its first heartbeat arrives, which opens the gate
+// when it does.
 TEST(upstream_lifecycle, deregistration_precedes_the_first_heartbeat_of_an_incarnation)
 {
     upstream_lifecycle upstream;
@@ -92,8 +92,19 @@
     EXPECT_EQ(upstream.receive(heartbeat("b", 30, 1)), lifecycle_change::opened);
 }
 
-// Guards against a node that restarted beside a leaving upstream and learns of that from a response,
-// before a heartbeat that was sent earlier arrives.
+// The same on a node that has restarted.
+TEST(upstream_lifecycle, deregistration_without_a_start_time_is_the_first_message)
+{
+    upstream_lifecycle upstream;
+    upstream.health_check_passed("a", 8);
+    EXPECT_EQ(upstream.deregister("a", milliseconds(0)), lifecycle_change::closed);
+    EXPECT_EQ(upstream.health_check_passed("a", 8), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 1)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+}
+
+// Guards against a node that restarted beside a leaving upstream and learns of that from a
+// response, before a heartbeat that was sent earlier arrives.
 TEST(upstream_lifecycle, response_before_the_first_heartbeat_closes_the_gate_for_good)
 {
     upstream_lifecycle upstream;
