upstream lifecycle: leaving announced in a response outlasts the first heartbeat

A node that restarts opens its gate after a health check. If a response then says that the upstream leaves, a heartbeat that was sent before it and arrives after it opened the gate again, as the first heartbeat of a process resets what is known of it. Change: the leaving is remembered for the instance until its first heartbeat.

--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -72,7 +72,7 @@
     upstream_state state_ = upstream_state::gone;
     bool heartbeat_received_ = false;
     bool left_service_ = false; ///< This incarnation is draining or deregistered.
-    /// Deregistered without a start time and not heard of since.
+    /// Left before this node knew its start time, which its next heartbeat names.
     std::string departed_instance_;
     std::uint64_t replacements_ = 0;
     std::uint64_t ignored_messages_ = 0;
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -71,6 +71,9 @@
 lifecycle_change upstream_lifecycle::mark_leaving()
 {
     left_service_ = true;
+    if (!heartbeat_received_) {
+        departed_instance_ = instance_;
+    }
     return state_ == upstream_state::ready ? transition_to(upstream_state::draining)
                                            : lifecycle_change::none;
 }
