sidecar test: a restarted node forgets that its upstream has left (red)

What a node acknowledged is kept in its memory. Not fixed: the leaving has to be kept on the platform, and the gate has to wait for it before a health check opens it.

--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -70,6 +70,30 @@
     EXPECT_EQ(first.request_count, before);
 }
 
+// Guards against a node that restarts and forgets that its upstream has left: a heartbeat that was
+// sent before, or a health check that passes, opens the gate again.
+TEST_F(sidecar_test, restarted_node_sends_nothing_to_a_deregistered_upstream)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(first);
+    ASSERT_EQ(send(first, "1").response.status, 200);
+    thread.call([this] { first.node->deregister_upstream("i-1", std::chrono::milliseconds(0)); });
+    ASSERT_EQ(send(first, "2").response.status, 503);
+    thread.call([this] { first.node.reset(); });
+    const std::unique_ptr<http_server> upstream = std::move(first.upstream);
+    start(first, "a", "rounds", upstream->address());
+    ASSERT_TRUE(eventually_ready(first));
+    const int before = first.request_count;
+    send_heartbeat(first, "i-1", false, 2);
+    EXPECT_EQ(send(first, "3").response.status, 503);
+    EXPECT_EQ(first.request_count, before);
+    // A new process that uses the address.
+    send_heartbeat(first, "i-2");
+    EXPECT_TRUE(eventually_responds_with(first, 200));
+}
+
 // Guards against an older version that replaces the one in force, and against a rejected document
 // that changes the routing.
 TEST_F(sidecar_test, older_and_malformed_versions_are_ignored)
