crash_model: replay of an overloaded mesh beside a crashing request

The model had no queue, no retry and no callers that return after a refusal, so it could not show a suspect that waits for a slot.

--- a/test/crash_model-test.cpp
+++ b/test/crash_model-test.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::uint64_t seeds = 20;
 
-void expect_bounded(crash_model_options options, const char* name)
+void expect_bounded(crash_model_options options, const char* name, milliseconds span = minutes(5))
 {
     std::size_t most = 0;
     std::size_t most_late = 0;
@@ -34,7 +34,7 @@
         for (options.seed = 1; options.seed <= seeds; ++options.seed) {
             options.ending = ending;
             crash_model model(options);
-            model.run_for(minutes(5));
+            model.run_for(span);
             EXPECT_LE(model.late_crashes(settle_time), max_late_crashes)
                 << name << ", ending " << static_cast<int>(ending) << ", seed " << options.seed;
             EXPECT_LE(model.longest_refusal(), max_refusal)
@@ -63,6 +63,18 @@
     expect_bounded(repeated_crash(milliseconds(100)), "ten times a second");
 }
 
+// Guards against suspects that wait for slots, and against callers that return when a trial ends,
+// while two thirds of the upstreams are away and the others are overloaded.
+TEST(crash_model, crashing_request_is_blocked_while_upstreams_are_overloaded)
+{
+    crash_model_options options = repeated_crash(milliseconds(125));
+    options.requests_per_second = 335;
+    options.queue_length = 20;
+    options.retries_after_crash = true;
+    options.returns_after_refusal = 2;
+    expect_bounded(options, "overload", seconds(35));
+}
+
 TEST(crash_model, restarts_of_nodes_do_not_release_the_crashing_request)
 {
     crash_model_options options = repeated_crash(milliseconds(500));
--- a/test/crash_model.cpp
+++ b/test/crash_model.cpp
@@ -36,8 +36,7 @@
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         start_node(index);
     }
-    every(options.crash_period,
-          [this] { send(crashing_request, options_.returns_after_refusal); });
+    every(options.crash_period, [this] { send(crashing_request, options_.returns_after_refusal); });
     every(options.node_restart_period, [this] { stop_node(below(nodes_.size())); });
     every(options.all_nodes_restart_period, [this] {
         for (std::size_t index = 0; index < nodes_.size(); ++index) {
@@ -125,8 +124,7 @@
                                milliseconds retry_after)
 {
     if (returns > 0) {
-        queue_.after(retry_after,
-                     [this, fingerprint, returns] { send(fingerprint, returns - 1); });
+        queue_.after(retry_after, [this, fingerprint, returns] { send(fingerprint, returns - 1); });
     }
 }
 
