sidecar: keep on the platform that the upstream has left

A node that restarts beside a leaving upstream sent requests to it: what it had acknowledged was in its memory alone, and a health check that passes or a heartbeat that was sent earlier opened the gate. Class: knowledge that others rely on depends on the memory of one process. Change: a row for each node holds start time and instance of the last process that left. Writes are repeated after an outage and after a return of the platform from a copy.

--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -77,6 +77,8 @@
     std::string report_address = "127.0.0.1:0";
     std::string upstream_address;
     std::string entries_prefix = "nodes/"; ///< Key prefix of the nodes' own entries.
+    /// Key prefix of the upstreams that left, one row for each node.
+    std::string departures_prefix = "departures/";
     std::size_t caller_connections = 2500; ///< Many: callers keep idle connections open.
     std::size_t peer_connections = 1000;
     double link_bytes_per_second = 0; ///< Of the host; 0 means unlimited.
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace agatespread {
@@ -19,6 +20,17 @@
     std::chrono::milliseconds warmup_remaining{0}; ///< Until it responds at full speed.
 };
 
+/// An incarnation that is draining or deregistered.
+struct upstream_departure {
+    std::string instance;
+    std::chrono::milliseconds started_at{0}; ///< 0 if not known.
+
+    friend bool operator==(const upstream_departure& left, const upstream_departure& right)
+    {
+        return left.instance == right.instance && left.started_at == right.started_at;
+    }
+};
+
 /// Whether a message opened or closed the upstream for new requests.
 enum class lifecycle_change : std::uint8_t { none, opened, closed };
 
@@ -40,6 +52,12 @@
     /// Applies a response in which the current incarnation says that it is leaving.
     lifecycle_change mark_leaving();
 
+    /// Applies the departure that an earlier process of this node had recorded.
+    lifecycle_change restore(const upstream_departure& departure);
+
+    /// Returns the current incarnation if it is draining or deregistered.
+    std::optional<upstream_departure> departure() const;
+
     /// Closes an upstream that refuses connections or responds as another instance; the next
     /// heartbeat opens it again.
     lifecycle_change mark_unreachable();
@@ -72,8 +90,8 @@
     upstream_state state_ = upstream_state::gone;
     bool heartbeat_received_ = false;
     bool left_service_ = false; ///< This incarnation is draining or deregistered.
-    /// Left before this node knew its start time, which its next heartbeat names.
-    std::string departed_instance_;
+    /// Left before this process of the node got a heartbeat of it.
+    std::optional<upstream_departure> departed_;
     std::uint64_t replacements_ = 0;
     std::uint64_t ignored_messages_ = 0;
     bool exit_announced_ = false;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -123,6 +123,12 @@
                                       log_block_row_error(action, status);
                                   },
                                   {}),
+      departures(driver, loop, settings.departures_prefix + settings.node,
+                 [this](std::string_view action, const absl::Status& status) {
+                     counters.platform_errors.add();
+                     log.change("departure_row_failed",
+                                {{"action", action}, {"error", std::string(status.message())}});
+                 }),
       gate(settings.admission), link(settings.link_bytes_per_second),
       client(loop, client_connections_per_host), incarnation(random())
 {
@@ -174,7 +180,7 @@
     load_blocks();
     schedule_report(true);
     schedule_report(false);
-    probe_timer = loop.after(first_probe_delay, [this](time_point) { probe_upstream(); });
+    load_departure();
     expire_timer = loop.every(expire_period, [this](time_point now) {
         known_peers.expire(now);
         guard.expire(now);
@@ -283,6 +289,27 @@
     }
 }
 
+void sidecar::impl::load_departure()
+{
+    departures.load([this](const std::optional<upstream_departure>& departure) {
+        if (departure) {
+            log.change("departure_restored",
+                       {{"instance", departure->instance}, {"started_at", departure->started_at}});
+            apply(upstream.restore(*departure), "departure");
+        }
+        // Not before: a health check may pass although the upstream has left.
+        probe_timer = loop.after(first_probe_delay, [this](time_point) { probe_upstream(); });
+    });
+}
+
+void sidecar::impl::record_departure()
+{
+    const std::optional<upstream_departure> departure = upstream.departure();
+    if (departure) {
+        departures.store(*departure);
+    }
+}
+
 void sidecar::impl::probe_upstream()
 {
     if (upstream.heartbeat_received() || upstream.state() == upstream_state::ready) {
@@ -367,6 +394,7 @@
     }
     if (response.leaving) {
         apply(upstream.mark_leaving(), "response");
+        record_departure();
     }
     // The limit ends with the first response without one, if the upstream itself has written it.
     if (response.rate_limit || response.authentic) {
@@ -581,6 +609,7 @@
     }
     impl_->end_replaced_upstream(replacements_before);
     impl_->apply(change, "heartbeat");
+    impl_->record_departure();
     if (change == lifecycle_change::none && impl_->upstream.slots() != slots_before) {
         impl_->update_gate(impl_->upstream.state());
     }
@@ -593,6 +622,7 @@
     const lifecycle_change change = impl_->upstream.deregister(instance, started_at);
     impl_->end_replaced_upstream(replacements_before);
     impl_->apply(change, "deregistered");
+    impl_->record_departure();
     if (impl_->upstream.ignored_messages() != ignored_before) {
         impl_->log_ignored_message(instance, started_at, "deregistered");
     }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -3,6 +3,7 @@
 #include "block_rows.h"
 #include "crash_sharing.h"
 #include "datagram_socket.h"
+#include "departure_row.h"
 #include "sidecar_call.h"
 
 #include <agatespread/failure_rate.h>
@@ -100,6 +101,8 @@
     void publish_crashes(const std::vector<crash_report>& reports);
     void log_crash_report(const crash_report& report, std::string_view from);
     void load_blocks();
+    void load_departure();
+    void record_departure();
     void log_block_row_error(std::string_view action, const absl::Status& status);
     std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
     void fetch_from_peer();
@@ -155,6 +158,7 @@
     crash_guard guard;
     detail::crash_sharing crash_state;
     detail::block_rows blocks;
+    detail::departure_row departures;
     admission gate;
     link_backlog link;
     upstream_lifecycle upstream;
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -96,6 +96,7 @@
     entry_written = false;
     schedule_entry();
     blocks.repeat_writes();
+    departures.repeat_write();
 }
 
 void sidecar::impl::apply_configuration_rows(const row_changes& changes)
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -2,6 +2,18 @@
 
 namespace agatespread {
 
+namespace {
+
+bool concerns(const upstream_departure& departure, const std::string& instance,
+              std::chrono::milliseconds started_at)
+{
+    return departure.instance == instance &&
+           (departure.started_at.count() == 0 || started_at.count() == 0 ||
+            departure.started_at == started_at);
+}
+
+} // namespace
+
 lifecycle_change upstream_lifecycle::transition_to(upstream_state next)
 {
     const upstream_state before = state_;
@@ -21,8 +33,8 @@
         ++replacements_;
         exit_announced_ = left_service_;
     }
-    left_service_ = instance == departed_instance_;
-    departed_instance_.clear();
+    left_service_ = departed_ && concerns(*departed_, instance, started_at);
+    departed_.reset();
     heartbeat_received_ = true;
     instance_ = instance;
     started_at_ = started_at;
@@ -53,11 +65,13 @@
     const bool order_unknown = started_at.count() == 0;
     if (!heartbeat_received_ || started_at > started_at_) {
         adopt(instance, started_at);
-        departed_instance_ = order_unknown ? instance : std::string();
+        if (order_unknown) {
+            departed_ = upstream_departure{instance, started_at};
+        }
     }
     else if (order_unknown && instance != instance_) {
         // An earlier process, or one whose heartbeats are late: its next heartbeat tells.
-        departed_instance_ = instance;
+        departed_ = upstream_departure{instance, started_at};
         return lifecycle_change::none;
     }
     else if (instance != instance_ || (!order_unknown && started_at < started_at_)) {
@@ -72,12 +86,33 @@
 {
     left_service_ = true;
     if (!heartbeat_received_) {
-        departed_instance_ = instance_;
+        departed_ = upstream_departure{instance_, started_at_};
     }
     return state_ == upstream_state::ready ? transition_to(upstream_state::draining)
                                            : lifecycle_change::none;
 }
 
+lifecycle_change upstream_lifecycle::restore(const upstream_departure& departure)
+{
+    if (!heartbeat_received_) {
+        departed_ = departure;
+        return lifecycle_change::none;
+    }
+    if (left_service_ || !concerns(departure, instance_, started_at_)) {
+        return lifecycle_change::none;
+    }
+    left_service_ = true;
+    return transition_to(upstream_state::draining);
+}
+
+std::optional<upstream_departure> upstream_lifecycle::departure() const
+{
+    if (!left_service_) {
+        return std::nullopt;
+    }
+    return upstream_departure{instance_, started_at_};
+}
+
 lifecycle_change upstream_lifecycle::mark_unreachable()
 {
     return state_ == upstream_state::ready ? transition_to(upstream_state::gone)
@@ -87,7 +122,7 @@
 lifecycle_change upstream_lifecycle::health_check_passed(const std::string& instance,
                                                          std::uint32_t slots)
 {
-    if (heartbeat_received_ || instance.empty()) {
+    if (heartbeat_received_ || instance.empty() || (departed_ && departed_->instance == instance)) {
         return lifecycle_change::none;
     }
     instance_ = instance;
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -177,4 +177,38 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
+// Guards against a node that restarts beside an upstream that has left.
+TEST(upstream_lifecycle, restored_departure_keeps_the_gate_closed)
+{
+    upstream_lifecycle upstream;
+    upstream.restore({"a", milliseconds(10)});
+    EXPECT_EQ(upstream.health_check_passed("a", 8), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 3)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    EXPECT_EQ(upstream.departure(), (upstream_departure{"a", milliseconds(10)}));
+    EXPECT_EQ(upstream.receive(heartbeat("a", 20, 1)), lifecycle_change::opened);
+    EXPECT_FALSE(upstream.departure());
+}
+
+// The platform may answer after the first heartbeat.
+TEST(upstream_lifecycle, late_restored_departure_closes_the_gate)
+{
+    upstream_lifecycle upstream;
+    upstream.receive(heartbeat("a", 10, 3));
+    EXPECT_EQ(upstream.restore({"b", milliseconds(10)}), lifecycle_change::none);
+    EXPECT_EQ(upstream.restore({"a", milliseconds(9)}), lifecycle_change::none);
+    EXPECT_EQ(upstream.restore({"a", milliseconds(10)}), lifecycle_change::closed);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 4)), lifecycle_change::none);
+}
+
+// Guards against an earlier departure that closes the gate for the next process.
+TEST(upstream_lifecycle, restored_departure_does_not_concern_the_next_incarnation)
+{
+    upstream_lifecycle upstream;
+    upstream.restore({"a", milliseconds(10)});
+    EXPECT_EQ(upstream.health_check_passed("b", 8), lifecycle_change::opened);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+}
+
 } // namespace agatespread
