--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -259,7 +259,8 @@
     if (queued.holds_suspect_slot) {
         const guard_check known = check(queued.fingerprint, now);
         if (known.state == suspicion::blocked) {
-            // The call remains until `leave`, which admits the calls that wait for the suspect slot.
+            // The call remains until `leave`, which admits the calls that wait for the suspect
+            // slot.
             queued.holds_suspect_slot = false;
             suspect_running_ = false;
             return {guard_verdict::refuse, known.retry_after, std::nullopt};
