crash guard: count crashes of a path whose requests differ in their query

Cause: the guard knew requests only by a hash that includes the query. Change: each request also has the fingerprint of its path (scope, safety of the method, path without query), which shares the reports, rows and trials of the others and is told apart by its highest bit. A path counts one crash for each fingerprint, only while no request to it succeeded on the node within 10 s; it is suspect from the second and blocked by the next identified one. A node ignores what others report of a path that succeeds on it.

--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -51,16 +51,38 @@
     /// Reports of other nodes do not make a fingerprint suspect within this time of a success:
     /// they may have been sent before it.
     std::chrono::milliseconds success_retention = std::chrono::seconds(5);
+    /// A path is not suspect within this time of a success: requests to it that differ in query or
+    /// body do not all crash their upstream.
+    std::chrono::milliseconds path_success_retention = std::chrono::seconds(10);
+    /// A path without a success is suspect after this number of crashes.
+    std::uint32_t min_path_crashes = 2;
     std::size_t max_fingerprints = 8192;
     std::size_t max_waiting = 32; ///< Suspects queued for the upstream; more are refused.
 };
 
 /// Returns a hash that identifies equal requests and is the same on every node.
 ///
-/// `scope` is what the path belongs to: a host, or a service that has paths of its own.
+/// `scope` is what the path belongs to: a host, or a service that has paths of its own. `path`
+/// includes the query.
 std::uint64_t request_fingerprint(std::string_view scope, std::string_view method,
                                   std::string_view path, std::string_view body);
 
+/// The hashes by which a guard knows a request.
+struct request_identity {
+    request_identity(std::uint64_t request_hash, std::uint64_t path_hash = 0)
+        : request(request_hash), path(path_hash)
+    {
+    }
+
+    std::uint64_t request; ///< The result of `request_fingerprint`.
+    /// The same for requests that differ in query, body or in methods of equal safety; 0 if none.
+    std::uint64_t path;
+};
+
+/// Returns the identity of a request; the parameters are those of `request_fingerprint`.
+request_identity identify_request(std::string_view scope, std::string_view method,
+                                  std::string_view path, std::string_view body);
+
 /// The state of a fingerprint.
 enum class suspicion : std::uint8_t { none, suspect, blocked };
 
@@ -122,6 +144,9 @@
 /// suspect that succeeds is cleared. After a block, and after two crashes, a suspect runs on one
 /// upstream of the whole mesh at a time.
 ///
+/// Requests may crash upstreams although each has another fingerprint. The path that they share is
+/// therefore counted as well, with a fingerprint of its own, as long as no request to it succeeds.
+///
 /// An upstream does not always close its connections when it ends. A call without a response is
 /// therefore remembered after its end, and is in flight at a crash that becomes known later.
 ///
@@ -133,9 +158,12 @@
 public:
     explicit crash_guard(const crash_guard_options& options);
 
-    /// Returns the state of a fingerprint; called before a request is sent to any upstream.
+    /// Returns the state of a fingerprint.
     guard_check check(std::uint64_t fingerprint, time_point now) const;
 
+    /// Returns the state of a request before it is sent to any upstream: blocked if its path is.
+    guard_check check(const request_identity& request, time_point now) const;
+
     /// Marks a fingerprint as suspect, such as when a response reports that its upstream crashed.
     void suspect(std::uint64_t fingerprint, time_point now);
 
@@ -143,7 +171,7 @@
     void confirm(std::uint64_t fingerprint, time_point now);
 
     /// Admits a call to this node's upstream; `suspected` is set if its sender lists it as suspect.
-    guard_decision enter(std::uint64_t call, std::uint64_t fingerprint, bool suspected,
+    guard_decision enter(std::uint64_t call, const request_identity& request, bool suspected,
                          time_point now);
 
     /// Checks a call again right before it is sent to the upstream and marks it as running.
@@ -199,13 +227,19 @@
         time_point expires_at; ///< When the entry and its number of blocks expire.
     };
 
+    struct path_success {
+        std::uint64_t path = 0;
+        time_point at;
+    };
+
     struct shard {
         mutable std::mutex mutex;
         absl::flat_hash_map<std::uint64_t, entry> entries;
+        std::array<path_success, 64> successes; ///< By hash; a later path replaces an earlier one.
     };
 
     struct call {
-        std::uint64_t fingerprint = 0;
+        request_identity request{0};
         bool holds_suspect_slot = false; ///< It is the one suspect that may run.
         bool running = false;
         bool in_counted_crash = false; ///< Was running at a crash that is already counted.
@@ -214,7 +248,7 @@
 
     /// A call that was running at a crash or may have been.
     struct call_in_flight {
-        std::uint64_t fingerprint = 0;
+        request_identity request{0};
         bool held_suspect_slot = false;
         time_point started_at;
     };
@@ -232,7 +266,11 @@
     };
 
     shard& shard_of(std::uint64_t fingerprint) const;
-    guard_check current_state(const entry& known, time_point now) const;
+    guard_check counted_state(const entry& known, time_point now) const;
+    guard_check current_state(std::uint64_t fingerprint, const entry& known, time_point now) const;
+    guard_check gate_state(const request_identity& request, time_point now) const;
+    void record_path_success(std::uint64_t path, time_point now);
+    bool path_succeeded_recently(std::uint64_t path, time_point now) const;
     entry& find_or_insert(shard& owning_shard, std::uint64_t fingerprint, time_point now);
     static void evict(shard& owning_shard, time_point now, std::atomic<std::size_t>& size);
     bool make_suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
@@ -241,11 +279,14 @@
                      guard_actions& actions, time_point now);
     crash_count crashes_of(std::uint64_t fingerprint, time_point now) const;
     crash_report block(std::uint64_t fingerprint, time_point now);
-    bool is_undecided(const entry& known, time_point now) const;
+    bool is_undecided(std::uint64_t fingerprint, const entry& known, time_point now) const;
     bool is_undecided(std::uint64_t fingerprint, time_point now) const;
+    bool is_undecided(const request_identity& request, time_point now) const;
+    std::optional<crash_report> begin_trial(const request_identity& request, time_point now);
     std::optional<crash_report> begin_trial(std::uint64_t fingerprint, time_point now);
     /// Returns the number of blocks that the success ended, or nothing if none was suspect.
     std::optional<std::uint32_t> clear(std::uint64_t fingerprint, time_point now);
+    void clear(const request_identity& request, guard_actions& actions, time_point now);
     bool block_until(std::uint64_t fingerprint, std::uint32_t blocks,
                      std::chrono::milliseconds length, time_point now);
     guard_decision admit(std::uint64_t id, call& entered, time_point now);
@@ -256,6 +297,10 @@
     std::vector<call_in_flight> take_unanswered(time_point now);
     bool identifies_crash(const call_in_flight& candidate, time_point earliest_start,
                           time_point now) const;
+    /// Returns the one suspect that may have caused the crash, or the one that was in flight at
+    /// most crashes before.
+    std::optional<std::uint64_t> find_cause(const std::vector<call_in_flight>& in_flight,
+                                            time_point now) const;
     void attribute_crash(const std::vector<call_in_flight>& in_flight, guard_actions& actions,
                          time_point now);
     bool cleared_recently(std::uint64_t fingerprint, time_point now) const;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -146,12 +146,15 @@
     if (owner_->guard.size() == 0) {
         return true;
     }
-    const std::uint64_t fingerprint = fingerprint_of(exchange_->request());
-    const guard_check known = owner_->guard.check(fingerprint, started_);
+    const request_identity identity = identity_of(exchange_->request());
+    const guard_check known = owner_->guard.check(identity, started_);
     if (known.state == suspicion::blocked) {
         owner_->counters.crash_refusals.add();
         owner_->log.request("crash_guard_refused", context_.request_id,
-                            {{"fingerprint", fingerprint}, {"rule", rule_->name}}, started_);
+                            {{"fingerprint", identity.request},
+                             {"path_fingerprint", identity.path},
+                             {"rule", rule_->name}},
+                            started_);
         refuse("crash_guard", known.retry_after);
         return false;
     }
@@ -361,7 +364,7 @@
         return;
     case call_outcome::crashed:
         suspect_ = true;
-        owner_->guard.suspect(fingerprint_of(exchange_->request()), owner_->loop.now());
+        owner_->guard.suspect(identity_of(exchange_->request()).request, owner_->loop.now());
         after_failure(metadata, 502);
         return;
     case call_outcome::failed:
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -16,6 +16,19 @@
 // Returned when the queue of suspects is full.
 constexpr milliseconds queue_full_retry_after = std::chrono::seconds(1);
 
+// Set in fingerprints of paths only, so that reports and rows need no further field.
+constexpr std::uint64_t path_bit = std::uint64_t{1} << 63U;
+
+bool is_path(std::uint64_t fingerprint)
+{
+    return (fingerprint & path_bit) != 0;
+}
+
+bool is_safe(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
+}
+
 milliseconds remaining_time(time_point end, time_point now)
 {
     return std::max(milliseconds(1), duration_cast<milliseconds>(end - now));
@@ -27,7 +40,16 @@
                                   std::string_view path, std::string_view body)
 {
     // Each hash seeds the next one, so that moving a character between parts changes the result.
-    return hash64(body, hash64(path, hash64(method, hash64(scope))));
+    return hash64(body, hash64(path, hash64(method, hash64(scope)))) & ~path_bit;
+}
+
+request_identity identify_request(std::string_view scope, std::string_view method,
+                                  std::string_view path, std::string_view body)
+{
+    const std::string_view without_query = path.substr(0, path.find('?'));
+    const std::string_view safety = is_safe(method) ? "safe" : "unsafe";
+    return {request_fingerprint(scope, method, path, body),
+            hash64(without_query, hash64(safety, hash64(scope))) | path_bit};
 }
 
 crash_report make_block_report(std::uint64_t fingerprint, std::uint32_t blocks,
@@ -49,7 +71,7 @@
     return shards_[fingerprint % shards_.size()];
 }
 
-guard_check crash_guard::current_state(const entry& known, time_point now) const
+guard_check crash_guard::counted_state(const entry& known, time_point now) const
 {
     if (known.state == suspicion::none || known.expires_at <= now) {
         return {};
@@ -68,6 +90,15 @@
             trial ? std::min(remaining, options_.trial_retry_after) : remaining};
 }
 
+guard_check crash_guard::current_state(std::uint64_t fingerprint, const entry& known,
+                                       time_point now) const
+{
+    const guard_check counted = counted_state(known, now);
+    const bool is_counted_only = is_path(fingerprint) && counted.state == suspicion::suspect &&
+                                 known.blocks == 0 && known.crashes < options_.min_path_crashes;
+    return is_counted_only ? guard_check() : counted;
+}
+
 guard_check crash_guard::check(std::uint64_t fingerprint, time_point now) const
 {
     if (size() == 0) {
@@ -76,7 +107,41 @@
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
-    return found == owning_shard.entries.end() ? guard_check() : current_state(found->second, now);
+    return found == owning_shard.entries.end() ? guard_check()
+                                               : current_state(fingerprint, found->second, now);
+}
+
+guard_check crash_guard::check(const request_identity& request, time_point now) const
+{
+    const guard_check known = check(request.request, now);
+    const guard_check path = check(request.path, now);
+    const bool path_decides =
+        path.state == suspicion::blocked &&
+        (known.state != suspicion::blocked || path.retry_after > known.retry_after);
+    return path_decides ? path : known;
+}
+
+guard_check crash_guard::gate_state(const request_identity& request, time_point now) const
+{
+    const guard_check known = check(request, now);
+    return known.state == suspicion::none ? check(request.path, now) : known;
+}
+
+void crash_guard::record_path_success(std::uint64_t path, time_point now)
+{
+    shard& owning_shard = shard_of(path);
+    const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+    const std::size_t slot = path / shards_.size() % owning_shard.successes.size();
+    owning_shard.successes[slot] = {path, now};
+}
+
+bool crash_guard::path_succeeded_recently(std::uint64_t path, time_point now) const
+{
+    const shard& owning_shard = shard_of(path);
+    const std::lock_guard<std::mutex> lock(owning_shard.mutex);
+    const std::size_t slot = path / shards_.size() % owning_shard.successes.size();
+    const path_success& last = owning_shard.successes[slot];
+    return last.path == path && now - last.at <= options_.path_success_retention;
 }
 
 void crash_guard::evict(shard& owning_shard, time_point now, std::atomic<std::size_t>& size)
@@ -117,7 +182,7 @@
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     entry& known = find_or_insert(owning_shard, fingerprint, now);
-    if (current_state(known, now).state == suspicion::none) {
+    if (counted_state(known, now).state == suspicion::none) {
         const std::uint32_t blocks = known.expires_at <= now ? 0 : known.blocks;
         const time_point keep_until = known.expires_at;
         known = {};
@@ -159,7 +224,7 @@
     const time_point end = now + length;
     // Reports of the same block differ in their end by the network delay, which is not a change.
     const bool changed =
-        current_state(known, now).state != suspicion::blocked || known.blocks < blocks;
+        counted_state(known, now).state != suspicion::blocked || known.blocks < blocks;
     if (!changed) {
         return false;
     }
@@ -172,6 +237,7 @@
 
 crash_report crash_guard::block(std::uint64_t fingerprint, time_point now)
 {
+
     std::uint32_t blocks = 0;
     {
         shard& owning_shard = shard_of(fingerprint);
@@ -188,9 +254,9 @@
     return make_block_report(fingerprint, blocks + 1, length);
 }
 
-bool crash_guard::is_undecided(const entry& known, time_point now) const
+bool crash_guard::is_undecided(std::uint64_t fingerprint, const entry& known, time_point now) const
 {
-    const suspicion state = current_state(known, now).state;
+    const suspicion state = current_state(fingerprint, known, now).state;
     return state == suspicion::suspect ||
            (state == suspicion::blocked && known.until - now <= options_.trial_duration);
 }
@@ -200,7 +266,20 @@
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
-    return found != owning_shard.entries.end() && is_undecided(found->second, now);
+    return found != owning_shard.entries.end() && is_undecided(fingerprint, found->second, now);
+}
+
+bool crash_guard::is_undecided(const request_identity& request, time_point now) const
+{
+    return is_undecided(request.request, now) || is_undecided(request.path, now);
+}
+
+std::optional<crash_report> crash_guard::begin_trial(const request_identity& request,
+                                                     time_point now)
+{
+    // The trial of a path includes that of its requests.
+    std::optional<crash_report> trial = begin_trial(request.path, now);
+    return trial ? trial : begin_trial(request.request, now);
 }
 
 std::optional<crash_report> crash_guard::begin_trial(std::uint64_t fingerprint, time_point now)
@@ -226,7 +305,7 @@
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
     // A longer block stays until its end: a call that completes meanwhile was started before it.
-    if (found == owning_shard.entries.end() || !is_undecided(found->second, now)) {
+    if (found == owning_shard.entries.end() || !is_undecided(fingerprint, found->second, now)) {
         return std::nullopt;
     }
     const std::uint32_t blocks = found->second.blocks;
@@ -236,15 +315,30 @@
     return blocks;
 }
 
-guard_decision crash_guard::enter(std::uint64_t id, std::uint64_t fingerprint, bool suspected,
+void crash_guard::clear(const request_identity& request, guard_actions& actions, time_point now)
+{
+    for (const std::uint64_t fingerprint : {request.request, request.path}) {
+        const std::optional<std::uint32_t> blocks = clear(fingerprint, now);
+        // Other nodes clear a path that was not blocked by successes of their own.
+        if (blocks && (!is_path(fingerprint) || *blocks > 0)) {
+            crash_report report;
+            report.fingerprint = fingerprint;
+            report.crashes = *blocks == 0 ? 0 : *blocks + 1;
+            report.cleared = true;
+            actions.reports.push_back(std::move(report));
+        }
+    }
+}
+
+guard_decision crash_guard::enter(std::uint64_t id, const request_identity& request, bool suspected,
                                   time_point now)
 {
     if (suspected) {
-        make_suspect(fingerprint, 1, now);
+        make_suspect(request.request, 1, now);
     }
     const std::lock_guard<std::mutex> lock(calls_mutex_);
     call& entered = calls_[id];
-    entered.fingerprint = fingerprint;
+    entered.request = request;
     return admit(id, entered, now);
 }
 
@@ -257,7 +351,7 @@
     }
     call& queued = found->second;
     if (queued.holds_suspect_slot) {
-        const guard_check known = check(queued.fingerprint, now);
+        const guard_check known = gate_state(queued.request, now);
         if (known.state == suspicion::blocked) {
             // The call remains until `leave`, which admits the calls that wait for the suspect
             // slot.
@@ -271,7 +365,7 @@
         queued.running = true;
         queued.started_at = now;
         if (queued.holds_suspect_slot) {
-            result.trial = begin_trial(queued.fingerprint, now);
+            result.trial = begin_trial(queued.request, now);
         }
     }
     return result;
@@ -279,7 +373,7 @@
 
 guard_decision crash_guard::admit(std::uint64_t id, call& entered, time_point now)
 {
-    const guard_check known = check(entered.fingerprint, now);
+    const guard_check known = gate_state(entered.request, now);
     if (known.state == suspicion::none) {
         return {};
     }
@@ -302,7 +396,7 @@
     std::deque<std::uint64_t> still_waiting;
     for (const std::uint64_t id : waiting_) {
         call& next = calls_.at(id);
-        const suspicion state = check(next.fingerprint, now).state;
+        const suspicion state = gate_state(next.request, now).state;
         if (state == suspicion::blocked) {
             calls_.erase(id);
             actions.refuse.push_back(id);
@@ -358,14 +452,10 @@
     if (end != call_end::not_run) {
         record_response(now);
     }
-    if (end == call_end::succeeded && size() > 0) {
-        const std::optional<std::uint32_t> blocks = clear(ended.fingerprint, now);
-        if (blocks) {
-            crash_report report;
-            report.fingerprint = ended.fingerprint;
-            report.crashes = *blocks == 0 ? 0 : *blocks + 1;
-            report.cleared = true;
-            actions.reports.push_back(std::move(report));
+    if (end == call_end::succeeded) {
+        record_path_success(ended.request.path, now);
+        if (size() > 0) {
+            clear(ended.request, actions, now);
         }
     }
     release(actions, now);
@@ -386,7 +476,7 @@
             unanswered_.pop_front();
         }
         unanswered_.push_back(
-            {{ended.fingerprint, ended.holds_suspect_slot, ended.started_at}, false, runs_until});
+            {{ended.request, ended.holds_suspect_slot, ended.started_at}, false, runs_until});
     }
     release(actions, now);
     return actions;
@@ -400,7 +490,7 @@
         if (candidate.running && !candidate.in_counted_crash) {
             candidate.in_counted_crash = true;
             result.push_back(
-                {candidate.fingerprint, candidate.holds_suspect_slot, candidate.started_at});
+                {candidate.request, candidate.holds_suspect_slot, candidate.started_at});
         }
     }
     return result;
@@ -446,11 +536,12 @@
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
     if (found == owning_shard.entries.end() ||
-        current_state(found->second, now).state == suspicion::none) {
+        counted_state(found->second, now).state == suspicion::none) {
         return {};
     }
     return {found->second.crashes, found->second.separate_crashes,
-            !is_undecided(found->second, now)};
+            current_state(fingerprint, found->second, now).state == suspicion::blocked &&
+                !is_undecided(fingerprint, found->second, now)};
 }
 
 bool crash_guard::identifies_crash(const call_in_flight& candidate, time_point earliest_start,
@@ -459,36 +550,55 @@
     const time_point silent_since = std::max(last_response_, earliest_start);
     const bool upstream_was_silent = candidate.started_at - silent_since > options_.max_silence;
     return candidate.held_suspect_slot && !upstream_was_silent &&
-           is_undecided(candidate.fingerprint, now);
+           is_undecided(candidate.request, now);
 }
 
-void crash_guard::attribute_crash(const std::vector<call_in_flight>& in_flight,
-                                  guard_actions& actions, time_point now)
+std::optional<std::uint64_t> crash_guard::find_cause(const std::vector<call_in_flight>& in_flight,
+                                                     time_point now) const
 {
     time_point earliest_start = time_point::max();
     for (const call_in_flight& each : in_flight) {
         earliest_start = std::min(earliest_start, each.started_at);
     }
-    // The one suspect that may have caused the crash, or the one that was in flight at most.
     std::vector<std::pair<std::uint32_t, std::uint64_t>> candidates;
     for (const call_in_flight& each : in_flight) {
         if (identifies_crash(each, earliest_start, now)) {
-            candidates.emplace_back(crashes_of(each.fingerprint, now).crashes, each.fingerprint);
+            candidates.emplace_back(crashes_of(each.request.request, now).crashes,
+                                    each.request.request);
         }
     }
     std::sort(candidates.rbegin(), candidates.rend());
     candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
     const bool identified = candidates.size() == 1 ||
                             (candidates.size() > 1 && candidates[0].first > candidates[1].first);
+    return identified ? std::make_optional(candidates[0].second) : std::nullopt;
+}
+
+void crash_guard::attribute_crash(const std::vector<call_in_flight>& in_flight,
+                                  guard_actions& actions, time_point now)
+{
+    const std::optional<std::uint64_t> cause = find_cause(in_flight, now);
     std::map<std::uint32_t, crash_report> suspects_by_crashes;
     absl::flat_hash_set<std::uint64_t> counted;
     for (const call_in_flight& each : in_flight) {
-        if (identified && each.fingerprint == candidates[0].second &&
-            !crashes_of(each.fingerprint, now).decided) {
-            actions.reports.push_back(block(each.fingerprint, now));
-        }
-        else if (counted.insert(each.fingerprint).second) {
-            count_crash(each.fingerprint, suspects_by_crashes, actions, now);
+        const bool is_cause = each.request.request == cause;
+        // A path counts once for each fingerprint: further crashes tell of the request only.
+        const bool counts_for_path = crashes_of(each.request.request, now).crashes == 0 &&
+                                     !path_succeeded_recently(each.request.path, now);
+        const bool path_is_cause = is_cause && is_undecided(each.request.path, now);
+        for (const auto& [fingerprint, identified] :
+             {std::make_pair(each.request.request, is_cause),
+              std::make_pair(each.request.path, path_is_cause)}) {
+            const bool ignored = fingerprint == 0 || (is_path(fingerprint) && !counts_for_path);
+            if (ignored || !counted.insert(fingerprint).second) {
+                continue;
+            }
+            if (identified && !crashes_of(fingerprint, now).decided) {
+                actions.reports.push_back(block(fingerprint, now));
+            }
+            else {
+                count_crash(fingerprint, suspects_by_crashes, actions, now);
+            }
         }
     }
     for (std::pair<const std::uint32_t, crash_report>& each : suspects_by_crashes) {
@@ -551,13 +661,16 @@
         return clear(report.fingerprint, now).has_value();
     }
     bool changed = false;
-    if (report.blocked_for.count() > 0) {
+    const bool names_healthy_path =
+        is_path(report.fingerprint) && path_succeeded_recently(report.fingerprint, now);
+    if (report.blocked_for.count() > 0 && !names_healthy_path) {
         const std::uint32_t blocks = std::max(report.crashes, 1U) - 1;
         changed = block_until(report.fingerprint, blocks,
                               std::min(report.blocked_for, options_.max_block), now);
     }
     for (const std::uint64_t fingerprint : report.suspects) {
-        if (cleared_recently(fingerprint, now)) {
+        if (cleared_recently(fingerprint, now) ||
+            (is_path(fingerprint) && path_succeeded_recently(fingerprint, now))) {
             continue;
         }
         changed = make_suspect(fingerprint, std::max(report.crashes, 1U), now) || changed;
@@ -580,7 +693,7 @@
     for (shard& current_shard : shards_) {
         const std::lock_guard<std::mutex> lock(current_shard.mutex);
         for (const std::pair<const std::uint64_t, entry>& each : current_shard.entries) {
-            const guard_check now_known = current_state(each.second, now);
+            const guard_check now_known = current_state(each.first, each.second, now);
             if (now_known.state != suspicion::none) {
                 result.push_back({each.first, now_known.state, each.second.crashes,
                                   each.second.blocks, now_known.retry_after,
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -45,9 +45,8 @@
         respond(call_outcome::unavailable, {}, "other_service", unavailable_retry_after);
         return;
     }
-    fingerprint_ = fingerprint_of(request_);
-    const guard_decision entry =
-        owner_->guard.enter(id_, fingerprint_, metadata_.suspect, arrived_);
+    identity_ = identity_of(request_);
+    const guard_decision entry = owner_->guard.enter(id_, identity_, metadata_.suspect, arrived_);
     if (entry.verdict == guard_verdict::pass) {
         admit();
         return;
@@ -99,8 +98,7 @@
     if (stage_ == stage::done) {
         return;
     }
-    const milliseconds remaining =
-        owner_->guard.check(fingerprint_, owner_->loop.now()).retry_after;
+    const milliseconds remaining = owner_->guard.check(identity_, owner_->loop.now()).retry_after;
     leave_guard(call_end::not_run);
     respond(call_outcome::blocked, {}, "crash_guard", std::max(remaining, unavailable_retry_after));
 }
@@ -362,7 +360,7 @@
                             {{"outcome", name_of(outcome)},
                              {"reason", reason},
                              {"rule", metadata_.rule},
-                             {"fingerprint", fingerprint_},
+                             {"fingerprint", identity_.request},
                              {"instance", instance_},
                              {"running", load.running},
                              {"queued", load.queued},
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -73,7 +73,7 @@
     http_request request_;
     response_handler handler_;
     std::string request_id_;
-    std::uint64_t fingerprint_ = 0;
+    request_identity identity_{0};
     time_point arrived_;
     time_point forwarded_;
     time_point deadline_;
--- a/src/inbound_call.cpp
+++ b/src/inbound_call.cpp
@@ -47,10 +47,9 @@
         }
     });
     const http_request& request = exchange_->request();
-    fingerprint_ =
-        request_fingerprint(upstream_->service, request.method, request.target, request.body);
+    identity_ = identify_request(upstream_->service, request.method, request.target, request.body);
     const guard_decision decision =
-        owner_->guard.enter(id_, fingerprint_, metadata_.suspect, started_at_);
+        owner_->guard.enter(id_, identity_, metadata_.suspect, started_at_);
     if (decision.verdict == guard_verdict::pass) {
         admit();
         return;
@@ -108,8 +107,7 @@
 void inbound_call::on_blocked()
 {
     owner_->counters.blocked.add();
-    const milliseconds remaining_block =
-        owner_->guard.check(fingerprint_, worker_.now()).retry_after;
+    const milliseconds remaining_block = owner_->guard.check(identity_, worker_.now()).retry_after;
     refuse(call_outcome::blocked, "blocked by the crash guard",
            std::max(remaining_block, refusal_retry_after));
 }
--- a/src/inbound_call.h
+++ b/src/inbound_call.h
@@ -58,7 +58,7 @@
     const time_point deadline_;
     std::shared_ptr<const inbound::impl::upstream_address> upstream_;
     inbound_series& series_;
-    std::uint64_t fingerprint_ = 0;
+    request_identity identity_{0};
     stage stage_ = stage::pending;
     bool waiting_for_guard_ = false;
     std::optional<worker_context::call_id> upstream_call_;
--- a/src/outbound_call.cpp
+++ b/src/outbound_call.cpp
@@ -126,7 +126,7 @@
     if (owner_->guard.size() == 0) {
         return true;
     }
-    const guard_check check = owner_->guard.check(fingerprint(), started_at_);
+    const guard_check check = owner_->guard.check(identity(), started_at_);
     if (check.state == suspicion::blocked) {
         owner_->counters.blocked.add();
         refuse(503, "request blocked: it crashes upstreams", check.retry_after);
@@ -142,7 +142,7 @@
     keyed_request request;
     request.tenant = route_->tenant;
     request.key = std::string(exchange_->request().headers.get("Idempotency-Key"));
-    request.fingerprint = fingerprint();
+    request.fingerprint = identity().request;
     request.time_left = time_left();
     claimed_request_ = request;
     if (!owner_->hooks.claim) {
@@ -201,7 +201,7 @@
     request.tried = tried_;
     request.allow_trial = !route_->assigned_class->once;
     if (suspect_) {
-        request.affinity_key = fingerprint();
+        request.affinity_key = identity().request;
     }
     // The lease of the claim may have expired while this process was paused; the request must then
     // not be sent.
@@ -364,12 +364,12 @@
     if (!suspect_) {
         // The next attempt carries the suspect flag, because it may reach its node before the crash
         // report does.
-        owner_->guard.suspect(fingerprint(), worker_.now());
+        owner_->guard.suspect(identity().request, worker_.now());
         suspect_ = true;
         on_attempt_failed(attempt_failure::unanswered, milliseconds(0));
         return;
     }
-    owner_->guard.confirm(fingerprint(), worker_.now());
+    owner_->guard.confirm(identity().request, worker_.now());
     owner_->counters.blocked.add();
     retry_decision decision;
     decision.status = route_->assigned_class->once ? 504 : 502;
@@ -390,7 +390,7 @@
 void outbound_call::clear_suspicion()
 {
     crash_report report;
-    report.fingerprint = fingerprint();
+    report.fingerprint = identity().request;
     report.cleared = true;
     owner_->guard.receive(report, worker_.now());
 }
@@ -518,14 +518,14 @@
     return duration_cast<milliseconds>(deadline_ - worker_.now());
 }
 
-std::uint64_t outbound_call::fingerprint()
+const request_identity& outbound_call::identity()
 {
-    if (!fingerprint_) {
+    if (!identity_) {
         const http_request& request = exchange_->request();
-        fingerprint_ = request_fingerprint(route_->service.service + "." + route_->service.fleet,
-                                           request.method, request.target, request.body);
+        identity_ = identify_request(route_->service.service + "." + route_->service.fleet,
+                                     request.method, request.target, request.body);
     }
-    return *fingerprint_;
+    return *identity_;
 }
 
 std::string outbound_call::new_call_id() const
--- a/src/outbound_call.h
+++ b/src/outbound_call.h
@@ -46,7 +46,7 @@
     void settle(settled_state state, const http_response& response);
     void cancel();
     std::chrono::milliseconds time_left() const;
-    std::uint64_t fingerprint();
+    const request_identity& identity();
     std::string new_call_id() const;
 
     const std::shared_ptr<outbound::impl> owner_;
@@ -58,7 +58,7 @@
     std::shared_ptr<const snapshot> snapshot_; ///< Fixed for all attempts of the call.
     std::shared_ptr<const route> route_;
     outbound_series* series_ = nullptr;
-    std::optional<std::uint64_t> fingerprint_;
+    std::optional<request_identity> identity_;
     std::optional<keyed_request> claimed_request_;
     std::string claim_token_;
     time_point may_send_until_ = time_point::max();
--- a/src/sidecar_call.cpp
+++ b/src/sidecar_call.cpp
@@ -54,10 +54,10 @@
     return outcome_names[static_cast<std::size_t>(outcome)];
 }
 
-std::uint64_t fingerprint_of(const http_request& request)
+request_identity identity_of(const http_request& request)
 {
-    return request_fingerprint(canonical_host(request.headers.get("Host")), request.method,
-                               request.target, request.body);
+    return identify_request(canonical_host(request.headers.get("Host")), request.method,
+                            request.target, request.body);
 }
 
 void write_forwarded_request(const forwarded_request_metadata& metadata, http_headers& headers)
--- a/src/sidecar_call.h
+++ b/src/sidecar_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatespread/crash_guard.h>
 #include <agatespread/http.h>
 #include <agatespread/placement.h>
 #include <agatespread/proxy.h>
@@ -47,9 +48,9 @@
 /// that does not come from a node.
 std::optional<forwarded_response_metadata> read_forwarded_response(const http_headers& headers);
 
-/// Returns the fingerprint of a caller's request, which depends neither on the caller's host nor on
+/// Returns the identity of a caller's request, which depends neither on the caller's host nor on
 /// the service that the route selects.
-std::uint64_t fingerprint_of(const http_request& request);
+request_identity identity_of(const http_request& request);
 
 /// Returns the name of an outcome, such as "not_run".
 std::string_view name_of(call_outcome outcome);
--- a/test/crash-guard-test.cpp
+++ b/test/crash-guard-test.cpp
@@ -363,4 +363,87 @@
     }
 }
 
+namespace {
+
+request_identity request_to_path(const std::string& query)
+{
+    return identify_request("mesh.example", "GET", "/rounds?" + query, "");
+}
+
+/// Crashes the upstream with requests that differ in their query; returns how many of them ran.
+int crash_with_queries(crash_guard& guard, int first, int count, time_point now)
+{
+    int ran = 0;
+    for (int number = first; number < first + count; ++number) {
+        const std::uint64_t id = static_cast<std::uint64_t>(number);
+        const request_identity request = request_to_path(std::to_string(number));
+        if (guard.enter(id, request, false, now).verdict == guard_verdict::pass &&
+            guard.try_start(id, now).verdict == guard_verdict::pass) {
+            guard.crashed(id, now);
+            ++ran;
+        }
+    }
+    return ran;
+}
+
+} // namespace
+
+TEST(crash_guard, path_is_blocked_after_three_crashes_by_different_queries)
+{
+    crash_guard guard({});
+    EXPECT_EQ(crash_with_queries(guard, 1, 10, start), 3);
+    EXPECT_EQ(guard.check(request_to_path("other"), start).state, suspicion::blocked);
+    const request_identity other_path = identify_request("mesh.example", "GET", "/orders", "");
+    EXPECT_EQ(guard.check(other_path, start).state, suspicion::none);
+}
+
+TEST(crash_guard, path_with_a_recent_success_is_not_blocked)
+{
+    crash_guard guard({});
+    guard.enter(1, request_to_path("harmless"), false, start);
+    guard.try_start(1, start);
+    guard.leave(1, call_end::succeeded, start);
+    EXPECT_EQ(crash_with_queries(guard, 2, 5, start + seconds(9)), 5);
+    EXPECT_EQ(guard.check(request_to_path("other"), start + seconds(9)).state, suspicion::none);
+}
+
+TEST(crash_guard, block_of_a_path_that_succeeds_here_is_ignored)
+{
+    crash_guard guard({});
+    const request_identity harmless = request_to_path("harmless");
+    guard.enter(1, harmless, false, start);
+    guard.try_start(1, start);
+    guard.leave(1, call_end::succeeded, start);
+    EXPECT_FALSE(guard.receive(make_block_report(harmless.path, 1, seconds(40)), start));
+    EXPECT_EQ(guard.check(harmless, start).state, suspicion::none);
+    EXPECT_TRUE(
+        guard.receive(make_block_report(harmless.path, 1, seconds(40)), start + seconds(11)));
+    EXPECT_EQ(guard.check(harmless, start + seconds(11)).state, suspicion::blocked);
+}
+
+// The same request under which an upstream crashes again says nothing about others of its path.
+TEST(crash_guard, repeated_request_does_not_block_its_path)
+{
+    crash_guard guard({});
+    const request_identity crashing = request_to_path("crash");
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        guard.enter(id, crashing, false, start);
+        guard.try_start(id, start);
+        guard.crashed(id, start);
+    }
+    EXPECT_EQ(guard.check(crashing, start).state, suspicion::blocked);
+    EXPECT_EQ(guard.check(request_to_path("harmless"), start).state, suspicion::none);
+}
+
+TEST(crash_guard, identity_of_a_path_ignores_query_body_and_methods_of_equal_safety)
+{
+    const auto path_of = [](std::string_view method, std::string_view path, std::string_view body) {
+        return identify_request("mesh.example", method, path, body).path;
+    };
+    const std::uint64_t path = path_of("GET", "/rounds", "");
+    EXPECT_EQ(path_of("HEAD", "/rounds?n=1", "body"), path);
+    EXPECT_NE(path_of("POST", "/rounds", ""), path);
+    EXPECT_NE(path_of("GET", "/rounds/2", ""), path);
+}
+
 } // namespace agatespread
--- a/test/crash_model-test.cpp
+++ b/test/crash_model-test.cpp
@@ -96,6 +96,60 @@
     expect_bounded(options, "server errors");
 }
 
+// Guards against a count for each value of a query that the upstream ignores.
+TEST(crash_model, crashing_path_is_blocked_although_the_query_differs)
+{
+    constexpr std::size_t max_crashes = 6;
+    std::size_t most = 0;
+    for (const milliseconds period : {seconds(1), seconds(2)}) {
+        crash_model_options options = repeated_crash(period);
+        options.varies_query = true;
+        for (const crash_ending ending :
+             {crash_ending::closes_connections, crash_ending::goes_silent}) {
+            for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+                options.ending = ending;
+                crash_model model(options);
+                model.run_for(minutes(5));
+                most = std::max(most, model.crash_times().size());
+                EXPECT_LE(model.crash_times().size(), max_crashes)
+                    << "period " << period.count() << " ms, ending " << static_cast<int>(ending)
+                    << ", seed " << options.seed;
+            }
+        }
+    }
+    std::cout << "each send with another query: at most " << most << " crashes\n";
+    crash_model_options fast = repeated_crash(milliseconds(100));
+    fast.varies_query = true;
+    expect_bounded(fast, "another query ten times a second");
+}
+
+// Guards against a path that is blocked because a few of its requests crash their upstreams.
+TEST(crash_model, harmless_requests_of_a_path_are_not_refused_beside_a_few_crashing_ones)
+{
+    constexpr double max_refused = 0.01;
+    crash_model_options options;
+    options.shares_path = true;
+    options.varies_query = true;
+    options.distinct_requests = 1000;
+    options.requests_per_second = 20;
+    double most = 0;
+    for (const int crash_share_permille : {1, 10, 29}) {
+        const double rate = options.requests_per_second * crash_share_permille / 1000;
+        options.crash_period = milliseconds(static_cast<int>(1000 / rate));
+        for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+            crash_model model(options);
+            model.run_for(minutes(2));
+            const double refused = static_cast<double>(model.harmless_refused_long()) /
+                                   static_cast<double>(model.harmless_sent());
+            most = std::max(most, refused);
+            EXPECT_LE(refused, max_refused)
+                << "share " << crash_share_permille << " in 1000, seed " << options.seed;
+        }
+    }
+    std::cout << "share of harmless requests refused for longer than a trial: at most " << most
+              << "\n";
+}
+
 // Guards against harmless requests that are refused because of crashes that they did not cause.
 TEST(crash_model, harmless_requests_are_not_refused_after_unrelated_crashes)
 {
--- a/test/crash_model.cpp
+++ b/test/crash_model.cpp
@@ -1,6 +1,7 @@
 #include "crash_model.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace agatespread::test {
@@ -24,6 +25,7 @@
 constexpr milliseconds heartbeat_delay{200};
 constexpr milliseconds share_period{250};
 constexpr milliseconds drain_time{2500};
+constexpr milliseconds trial_duration = crash_guard_options().trial_duration;
 
 } // namespace
 
@@ -36,7 +38,7 @@
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         start_node(index);
     }
-    every(options.crash_period, [this] { send(crashing_request, options_.returns_after_refusal); });
+    every(options.crash_period, [this] { send_crashing(); });
     every(options.node_restart_period, [this] { stop_node(below(nodes_.size())); });
     every(options.all_nodes_restart_period, [this] {
         for (std::size_t index = 0; index < nodes_.size(); ++index) {
@@ -114,6 +116,25 @@
     queue_.after(node_restart_time, [this, index] { start_node(index); });
 }
 
+void crash_model::send_crashing()
+{
+    const std::uint64_t variant = options_.varies_query ? crashing_sent_ : 0;
+    ++crashing_sent_;
+    send(crashing_request + variant, options_.returns_after_refusal);
+}
+
+bool crash_model::crashes_upstream(std::uint64_t fingerprint) const
+{
+    return fingerprint >= crashing_request;
+}
+
+request_identity crash_model::identity_of(std::uint64_t fingerprint) const
+{
+    const bool has_shared_path = options_.shares_path || crashes_upstream(fingerprint);
+    const std::string path = has_shared_path ? "/shared" : "/" + std::to_string(fingerprint);
+    return {fingerprint, identify_request("mesh.example", "GET", path, "").path};
+}
+
 void crash_model::send_harmless()
 {
     ++harmless_sent_;
@@ -134,7 +155,7 @@
     if (!caller.up) {
         return;
     }
-    const guard_check known = caller.guard->check(fingerprint, queue_.now());
+    const guard_check known = caller.guard->check(identity_of(fingerprint), queue_.now());
     if (known.state == suspicion::blocked) {
         record_refusal(fingerprint);
         return_later(fingerprint, returns, known.retry_after);
@@ -188,7 +209,7 @@
     queue_.after(silence_timeout, [this, gate, process = node.process] {
         queue_.after(probe_timeout, [this, gate, process] { end_running(gate, process); });
     });
-    const guard_decision entry = node.guard->enter(id, fingerprint, suspect, now);
+    const guard_decision entry = node.guard->enter(id, identity_of(fingerprint), suspect, now);
     if (entry.verdict == guard_verdict::pass) {
         offer_call(gate, id);
     }
@@ -267,7 +288,7 @@
         return; // Stays without an answer until its deadline.
     }
     const bool fails = chance(options_.server_error_ratio);
-    if (found->second.fingerprint == crashing_request && !fails) {
+    if (crashes_upstream(found->second.fingerprint) && !fails) {
         run_crashing(gate, id);
     }
     else {
@@ -431,7 +452,7 @@
 
 void crash_model::record_refusal(std::uint64_t fingerprint)
 {
-    if (fingerprint == crashing_request) {
+    if (crashes_upstream(fingerprint)) {
         return;
     }
     ++harmless_refused_;
@@ -439,6 +460,7 @@
     if (!std::exchange(span.refusing, true)) {
         span.since = queue_.now();
     }
+    harmless_refused_long_ += queue_.now() - span.since > trial_duration ? 1 : 0;
     longest_refusal_ =
         std::max<std::chrono::nanoseconds>(longest_refusal_, queue_.now() - span.since);
 }
--- a/test/crash_model.h
+++ b/test/crash_model.h
@@ -36,6 +36,10 @@
     std::chrono::milliseconds upstream_kill_period{0};
     std::size_t killed_upstreams = 1; ///< At each unrelated kill.
     std::chrono::milliseconds release_period{0};
+    /// Each send of the crashing request has another query, and so another fingerprint.
+    bool varies_query = false;
+    /// All harmless requests have the path of the crashing one, and other queries.
+    bool shares_path = false;
     double report_loss = 0.05;
     double requests_per_second = 200;
     std::size_t distinct_requests = 100; ///< With a frequency of 1, 1/2, 1/3 and so on.
@@ -63,6 +67,9 @@
     std::uint64_t harmless_sent() const { return harmless_sent_; }
     std::uint64_t harmless_refused() const { return harmless_refused_; }
 
+    /// Returns the harmless requests refused when theirs had been refused for longer than a trial.
+    std::uint64_t harmless_refused_long() const { return harmless_refused_long_; }
+
     /// Returns the longest time for which a harmless request was only refused.
     std::chrono::milliseconds longest_refusal() const;
 
@@ -113,6 +120,9 @@
     void end_upstream(std::size_t index, bool closes_connections, bool announced);
     void apply(std::size_t index, const guard_actions& actions);
     void send_reports(std::size_t from, std::size_t to, std::vector<crash_report> reports);
+    void send_crashing();
+    bool crashes_upstream(std::uint64_t fingerprint) const;
+    request_identity identity_of(std::uint64_t fingerprint) const;
     void record_refusal(std::uint64_t fingerprint);
     void record_success(std::uint64_t fingerprint);
     bool chance(double probability);
@@ -129,6 +139,8 @@
     std::chrono::nanoseconds longest_refusal_{0};
     std::uint64_t harmless_sent_ = 0;
     std::uint64_t harmless_refused_ = 0;
+    std::uint64_t harmless_refused_long_ = 0;
+    std::uint64_t crashing_sent_ = 0;
     std::uint64_t next_id_ = 0;
 };
 
--- a/test/crash_sharing-test.cpp
+++ b/test/crash_sharing-test.cpp
@@ -113,7 +113,7 @@
 TEST(crash_sharing, report_with_a_full_page_fits_into_one_packet)
 {
     constexpr std::size_t max_datagram_bytes = 1400;
-    constexpr std::uint64_t first_fingerprint = 1ULL << 63U; // The longest encoding.
+    constexpr std::uint64_t first_fingerprint = 1ULL << 62U; // The longest encoding.
     crash_guard guard({});
     for (std::uint64_t offset = 0; offset < 100; ++offset) {
         guard.confirm(first_fingerprint + offset, start);
