sidecar: a version and an entry are no longer told by each node to each other node

Cause: after each version and each change of an entry a node sent a report to all peers. With n nodes a version was n * (n - 1) datagrams, four in five of them between failure domains. Change: a new version is told to the own failure domain, and by its readers to two random nodes of each other domain, whose readers may be cut off (peers::version_recipients). A changed entry is answered to its node only, a complete read to the peers that are not heard of (peers::unheard). Measured: model of 5 domains, 195 nodes: at most 80 datagrams between domains for a version (30,420 before), all nodes informed, also with the readers of a domain cut off. Regular reports still go to all peers.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -77,6 +77,9 @@
     /// Time for which a measured transit time is used; after it, an avoided peer is tried again.
     std::chrono::milliseconds transit_lifetime = std::chrono::milliseconds(500);
     std::chrono::milliseconds expire_after = std::chrono::minutes(10);
+    /// Peers of each other failure domain that a reader tells of a new version at once. Its own
+    /// readers may be cut off from the platform; one of a few datagrams arrives.
+    std::size_t remote_recipients = 2;
 };
 
 /// A peer whose upstream may receive a request.
@@ -140,6 +143,17 @@
     /// domain or from all other domains.
     std::vector<peer_entry> ahead_of(config_version version, bool own_domain, time_point now) const;
 
+    /// Returns the peers that are told of a new version at once: those of the own failure domain,
+    /// and, if the own node is a reader, `remote_recipients` random ones of each other domain.
+    ///
+    /// The others hear of it from a node of their domain, so that the datagrams between domains do
+    /// not grow with the number of nodes.
+    std::vector<peer_entry> version_recipients(bool is_reader, const random_source& random,
+                                               time_point now) const;
+
+    /// Returns the peers that have an entry but have not reported recently.
+    std::vector<peer_entry> unheard(time_point now) const;
+
     /// Returns whether the own node is among the first `readers` nodes of its failure domain, by
     /// id, that can read the platform.
     bool is_reader(std::size_t readers, time_point now) const;
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -459,6 +459,43 @@
     return result;
 }
 
+std::vector<peer_entry> peers::version_recipients(bool is_reader, const random_source& random,
+                                                  time_point now) const
+{
+    std::vector<peer_entry> result;
+    std::map<std::string, std::vector<const peer*>> remote;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        const peer& subject = each.second;
+        if (is_local(subject)) {
+            result.push_back(subject.entry);
+        }
+        else if (is_reader && is_alive(subject, now)) {
+            remote[subject.entry.failure_domain].push_back(&subject);
+        }
+    }
+    for (std::pair<const std::string, std::vector<const peer*>>& domain : remote) {
+        std::vector<const peer*>& candidates = domain.second;
+        for (std::size_t count = 0; count < options_.remote_recipients && !candidates.empty();
+             ++count) {
+            const std::size_t index = uniform_below(random, candidates.size());
+            result.push_back(candidates[index]->entry);
+            candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+    return result;
+}
+
+std::vector<peer_entry> peers::unheard(time_point now) const
+{
+    std::vector<peer_entry> result;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        if (!is_alive(each.second, now)) {
+            result.push_back(each.second.entry);
+        }
+    }
+    return result;
+}
+
 bool peers::is_reader(std::size_t readers, time_point now) const
 {
     std::size_t before = 0;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -253,9 +253,14 @@
 }
 
 void sidecar::impl::send_report(bool own_domain)
+{
+    send_report(known_peers.in_domain(own_domain));
+}
+
+void sidecar::impl::send_report(const std::vector<peer_entry>& recipients)
 {
     const std::string bytes = next_report(crash_state.recent_decisions(loop.now()));
-    for (const peer_entry& peer : known_peers.in_domain(own_domain)) {
+    for (const peer_entry& peer : recipients) {
         reports->send(peer.report_address, bytes);
         counters.reports_sent.add();
     }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -93,6 +93,7 @@
     void schedule_report(bool own_domain);
     void send_report();
     void send_report(bool own_domain);
+    void send_report(const std::vector<peer_entry>& recipients);
     void share_crash_state(time_point now);
     void close_idle_connections();
     reported_load own_load() const;
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -130,7 +130,9 @@
                                           {"before", before},
                                           {"rules", static_cast<std::uint64_t>(table->size())},
                                           {"source", source}});
-    send_report();
+    const time_point now = loop.now();
+    const bool is_reader = reading_configuration && known_peers.is_reader(readers_per_domain, now);
+    send_report(known_peers.version_recipients(is_reader, random, now));
     return true;
 }
 
@@ -148,6 +150,9 @@
     if (changes.complete) {
         entry_written = false;
     }
+    // Nodes that started know nothing of this one. A start writes the entry again, so a change of
+    // one entry is answered to its node only.
+    std::vector<peer_entry> started;
     for (const row_write& row : changes.rows) {
         const node_id node = row.key.substr(settings.entries_prefix.size());
         if (!row.value) {
@@ -167,12 +172,13 @@
             continue;
         }
         known_peers.add_entry(*entry, now);
+        started.push_back(*entry);
     }
     counters.peers_known.set(static_cast<std::int64_t>(known_peers.size()));
     if (!entry_written) {
         schedule_entry();
     }
-    send_report();
+    send_report(changes.complete ? known_peers.unheard(now) : started);
 }
 
 void sidecar::impl::schedule_entry()
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <random>
+#include <string>
+#include <vector>
 
 namespace agatespread {
 
@@ -260,4 +264,104 @@
     EXPECT_EQ(peer_directory.size(), 1U);
 }
 
+namespace {
+
+constexpr std::size_t readers_per_domain = 2;
+
+/// Nodes that tell each other of a new version and fetch it from the node that told them.
+class version_model {
+public:
+    version_model(std::size_t domains, std::size_t nodes_per_domain) : domains_(domains)
+    {
+        for (std::size_t own = 0; own < domains * nodes_per_domain; ++own) {
+            nodes_.emplace_back(name_of(own), domain_of(own), peer_options());
+            for (std::size_t other = 0; other < domains * nodes_per_domain; ++other) {
+                peer_report report = report_of(name_of(other), 1);
+                report.entry.failure_domain = domain_of(other);
+                nodes_.back().receive(report, start);
+            }
+        }
+    }
+
+    /// Gives a version to the readers of all domains but `cut_off`; returns how many nodes got it.
+    std::size_t spread(const std::string& cut_off)
+    {
+        std::vector<bool> informed(nodes_.size(), false);
+        std::vector<std::size_t> pending;
+        for (std::size_t node = 0; node < nodes_.size(); ++node) {
+            if (nodes_[node].is_reader(readers_per_domain, start) && domain_of(node) != cut_off) {
+                informed[node] = true;
+                pending.push_back(node);
+            }
+        }
+        while (!pending.empty()) {
+            const std::size_t sender = pending.back();
+            pending.pop_back();
+            const bool is_reader = nodes_[sender].is_reader(readers_per_domain, start);
+            for (const peer_entry& to :
+                 nodes_[sender].version_recipients(is_reader, random_, start)) {
+                datagrams_between_domains_ += to.failure_domain == domain_of(sender) ? 0 : 1;
+                const std::size_t receiver = std::stoul(to.node);
+                if (!informed[receiver]) {
+                    informed[receiver] = true;
+                    pending.push_back(receiver);
+                }
+            }
+        }
+        return static_cast<std::size_t>(std::count(informed.begin(), informed.end(), true));
+    }
+
+    std::size_t datagrams_between_domains() const { return datagrams_between_domains_; }
+
+private:
+    std::string name_of(std::size_t node) const
+    {
+        std::string digits = std::to_string(node);
+        return std::string(4 - digits.size(), '0') + digits; // Ordered by number.
+    }
+
+    std::string domain_of(std::size_t node) const
+    {
+        return "domain-" + std::to_string(node % domains_);
+    }
+
+    const std::size_t domains_;
+    std::vector<peers> nodes_;
+    std::mt19937_64 engine_{1};
+    random_source random_ = [this] { return engine_(); };
+    std::size_t datagrams_between_domains_ = 0;
+};
+
+} // namespace
+
+// Guards against one datagram from each node to each other one for a version.
+TEST(peers, version_reaches_all_nodes_and_few_datagrams_cross_domains)
+{
+    constexpr std::size_t domains = 5;
+    const std::size_t limit =
+        domains * (domains - 1) * readers_per_domain * peer_options().remote_recipients;
+    for (const std::size_t nodes_per_domain : {6U, 39U}) {
+        version_model model(domains, nodes_per_domain);
+        EXPECT_EQ(model.spread(""), domains * nodes_per_domain);
+        EXPECT_LE(model.datagrams_between_domains(), limit) << nodes_per_domain;
+    }
+}
+
+TEST(peers, version_reaches_a_domain_whose_readers_are_cut_off)
+{
+    constexpr std::size_t domains = 5;
+    version_model model(domains, 39);
+    EXPECT_EQ(model.spread("domain-3"), domains * 39);
+}
+
+TEST(peers, peers_without_a_recent_report_are_unheard)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.add_entry(report_of("b", 1).entry, start);
+    ASSERT_EQ(others.unheard(start).size(), 1U);
+    EXPECT_EQ(others.unheard(start)[0].node, "b");
+    EXPECT_EQ(others.unheard(start + seconds(5)).size(), 2U);
+}
+
 } // namespace agatespread
