sidecar: ask a second peer for a version when the first one is slow

Cause: a node that is behind asked one peer, mostly the reader that had the version first, and waited up to 1 s for it, then for the next report. Change: after 200 ms a second peer is asked, a failed fetch is repeated with another peer, and a fetch that hangs does not hold up that of the next version.

--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -287,10 +287,9 @@
             blocks.forget(crash.fingerprint);
         }
     }
-    if (report->in_force > (table ? table->version() : 0) && !fetch_in_flight) {
-        fetch_in_flight = true;
-        fetch_timer =
-            loop.after(fetch_delay(report->entry), [this](time_point) { fetch_from_peer(); });
+    const bool is_ahead = report->in_force > (table ? table->version() : 0);
+    if (is_ahead && !fetch_scheduled && fetches_in_flight.size() < detail::max_concurrent_fetches) {
+        schedule_fetch(fetch_delay(report->entry));
     }
 }
 
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
 /// The path under which a node serves its configuration to other nodes.
 inline constexpr std::string_view configuration_path = "/agatespread/configuration";
 
+inline constexpr std::size_t max_concurrent_fetches = 2; // Of the configuration, from two peers.
+
 /// Returns the limits of a listener for callers or other nodes.
 http_limits limits_of(const caller_limits& limits, std::size_t connections);
 
@@ -106,7 +109,9 @@
     void record_departure();
     void log_block_row_error(std::string_view action, const absl::Status& status);
     std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
+    void schedule_fetch(std::chrono::milliseconds delay);
     void fetch_from_peer();
+    void send_fetch(const peer_entry& peer);
     void handle_fetched_configuration(const http_result& result, const node_id& node);
     void update_reader_role(time_point now);
 
@@ -178,9 +183,10 @@
     bool entry_written = false;
     bool entry_in_flight = false;
     bool watching_entries = false;
-    std::uint64_t platform_era = 0;    ///< The latest `feed_position::era` that this node knows.
-    bool reading_configuration = true; ///< This node is a reader of its failure domain.
-    bool fetch_in_flight = false;
+    std::uint64_t platform_era = 0;      ///< The latest `feed_position::era` that this node knows.
+    bool reading_configuration = true;   ///< This node is a reader of its failure domain.
+    std::set<node_id> fetches_in_flight; ///< The peers that are asked for their configuration.
+    bool fetch_scheduled = false;
     subscription fetch_timer;
     subscription entry_timer;
     subscription near_report_timer;
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds near_fetch_jitter{150};
 constexpr milliseconds far_fetch_delay{300};
 constexpr milliseconds fetch_timeout{1000};
+
+// A second peer is asked after this time: the first one to have a version may be short of CPU time
+// or bandwidth, and all nodes of its failure domain fetch from it.
+constexpr milliseconds fetch_hedge_delay{200};
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
 
 // The longest delay before a node writes its entry again. All nodes do so after an outage or when
@@ -238,6 +242,15 @@
                            same_domain ? near_fetch_jitter : far_fetch_delay + near_fetch_jitter);
 }
 
+void sidecar::impl::schedule_fetch(milliseconds delay)
+{
+    fetch_scheduled = true;
+    fetch_timer = loop.after(delay, [this](time_point) {
+        fetch_scheduled = false;
+        fetch_from_peer();
+    });
+}
+
 void sidecar::impl::fetch_from_peer()
 {
     const config_version before = table ? table->version() : 0;
@@ -245,12 +258,22 @@
     if (ahead.empty()) {
         ahead = known_peers.ahead_of(before, false, loop.now());
     }
-    if (ahead.empty()) {
-        fetch_in_flight = false;
-        return;
+    const auto is_asked = [this](const peer_entry& peer) {
+        return fetches_in_flight.count(peer.node) > 0;
+    };
+    ahead.erase(std::remove_if(ahead.begin(), ahead.end(), is_asked), ahead.end());
+    if (!ahead.empty()) {
+        // A random peer, so that no single link carries the document to all nodes.
+        send_fetch(ahead[uniform_below(random, ahead.size())]);
+    }
+    if (!fetches_in_flight.empty() && fetches_in_flight.size() < detail::max_concurrent_fetches) {
+        schedule_fetch(fetch_hedge_delay);
     }
-    // A random peer, so that no single link carries the document to all nodes.
-    const peer_entry& peer = ahead[uniform_below(random, ahead.size())];
+}
+
+void sidecar::impl::send_fetch(const peer_entry& peer)
+{
+    fetches_in_flight.insert(peer.node);
     http_call call;
     call.url = "http://" + peer.call_address + std::string(detail::configuration_path);
     call.timeout = fetch_timeout;
@@ -260,7 +283,7 @@
                 [weak = weak_from_this(), node = peer.node](const http_result& result) {
                     const std::shared_ptr<impl> self = weak.lock();
                     if (self) {
-                        self->fetch_in_flight = false;
+                        self->fetches_in_flight.erase(node);
                         self->handle_fetched_configuration(result, node);
                     }
                 });
@@ -270,6 +293,9 @@
 {
     if (result.outcome != http_outcome::answered || result.response.status != 200) {
         log.change("configuration_fetch_failed", {{"peer", node}, {"error", result.error}});
+        if (!fetch_scheduled) {
+            schedule_fetch(uniform_between(random, milliseconds(1), near_fetch_jitter));
+        }
         return;
     }
     const absl::StatusOr<std::string> fetched =
--- a/test/platform_feed-test.cpp
+++ b/test/platform_feed-test.cpp
@@ -194,6 +194,63 @@
     });
 }
 
+// Guards against a node that waits for a peer that is too slow while another one has the version.
+TEST_F(platform_feed, version_is_in_force_in_time_although_one_peer_does_not_answer)
+{
+    constexpr int last_version = 9;
+    configure(1);
+    const std::string report_address = free_report_address();
+    start_node("a", "cairo", report_address);
+    ASSERT_TRUE(in_force(1));
+    int version = 1;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    std::unique_ptr<http_server> slow;
+    std::unique_ptr<http_server> fast;
+    std::unique_ptr<datagram_socket> reports;
+    std::vector<peer_report> peers(2);
+    subscription reporting;
+    thread.call([&] {
+        slow = http_server::listen(thread.loop(), "127.0.0.1:0", {},
+                                   [&](const std::shared_ptr<http_exchange>& exchange) {
+                                       unanswered.push_back(exchange);
+                                   })
+                   .value();
+        fast = http_server::listen(thread.loop(), "127.0.0.1:0", {},
+                                   [&](const std::shared_ptr<http_exchange>& exchange) {
+                                       http_response response;
+                                       response.body = detail::deflate_bytes(
+                                           std::to_string(version) + " 1000 idempotent rounds");
+                                       exchange->respond(std::move(response));
+                                   })
+                   .value();
+        reports =
+            datagram_socket::open(thread.loop(), "127.0.0.1:0", [](std::string_view) {}).value();
+        peers[0].entry = {"b", "cairo", "rounds", slow->address(), "127.0.0.1:9"};
+        peers[1].entry = {"c", "cairo", "rounds", fast->address(), "127.0.0.1:9"};
+        reporting = thread.loop().every(milliseconds(50), [&](time_point) {
+            for (peer_report& report : peers) {
+                report.incarnation = 1;
+                report.in_force = static_cast<config_version>(version);
+                ++report.sequence;
+                reports->send(report_address, encode_report(report));
+            }
+        });
+    });
+    for (int next = 2; next <= last_version; ++next) {
+        const time_point reported_at = steady_clock::now();
+        thread.call([&] { version = next; });
+        ASSERT_TRUE(in_force(next));
+        EXPECT_LT(elapsed_since(reported_at).count(), fetch_share.count()) << "ms, " << next;
+    }
+    thread.call([&] {
+        reporting.cancel();
+        reports.reset();
+        unanswered.clear();
+        slow.reset();
+        fast.reset();
+    });
+}
+
 // Guards against a reader that misses the configuration which is written after the store returned
 // from an older copy.
 TEST_F(platform_feed, version_written_after_a_return_from_a_copy_is_in_force_in_time)
