platform settings: read the bounds from a map

So on every site the defaults were in force: a shutdown timeout of 5.5 s and a repeat budget without its slack (56 to 430 repeats in 10 s). Change: a map and a list are read; anything else is an error. Measured: platform_settings.bounds_are_read_from_a_map and errors_name_file_and_key fail on the code before (slack 0, shutdown timeout 5.5 s) and pass now.

--- a/test/platform_settings-test.cpp
+++ b/test/platform_settings-test.cpp
@@ -52,6 +52,22 @@
     EXPECT_DOUBLE_EQ(read->node.link_bytes_per_second, 1312500);
 }
 
+// Guards against bounds that are ignored: the platform's template renders them as a map.
+TEST(platform_settings, bounds_are_read_from_a_map)
+{
+    const absl::StatusOr<process_settings> read = parse_process_settings(
+        replaced(
+            R"(["grace=6s","retry_budget_ratio=0.25","budget_window=10s","budget_slack=56"])",
+            R"({"grace":"10s","retry_budget_ratio":0.3,"budget_window":"8s","budget_slack":430})"),
+        "local.toml");
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_DOUBLE_EQ(read->node.retries.ratio, 0.3);
+    EXPECT_DOUBLE_EQ(read->node.retries.slack, 430);
+    EXPECT_EQ(read->node.retries.window, std::chrono::seconds(8));
+    EXPECT_GT(read->node.shutdown_timeout, std::chrono::seconds(9));
+    EXPECT_LT(read->node.shutdown_timeout, std::chrono::seconds(10));
+}
+
 // Guards against starting with a part of the settings: an invalid value must give an error that
 // names the file and the key.
 TEST(platform_settings, errors_name_file_and_key)
@@ -64,6 +80,10 @@
               "local.toml: bounds.budget_window: \"10\" is not a duration such as 1500ms");
     EXPECT_EQ(error_of(replaced("budget_slack=56", "budget_slack=x")),
               "local.toml: bounds.budget_slack: \"x\" is not a number");
+    EXPECT_EQ(error_of(replaced(
+                  R"(["grace=6s","retry_budget_ratio=0.25","budget_window=10s","budget_slack=56"])",
+                  "7")),
+              "local.toml: bounds: a map or a list of bounds is required");
     EXPECT_EQ(error_of(replaced("4100", "10")),
               "local.toml: descriptors: a number of at least 1000 is required");
     EXPECT_EQ(error_of(replaced("10.5", "fast")),
