--- a/include/agatespread/crash_guard.h
+++ b/include/agatespread/crash_guard.h
@@ -69,12 +69,12 @@
 
 /// The hashes by which a guard knows a request.
 struct request_identity {
-    request_identity(std::uint64_t request_hash, std::uint64_t path_hash = 0)
-        : request(request_hash), path(path_hash)
+    request_identity(std::uint64_t exact_hash, std::uint64_t path_hash = 0)
+        : exact(exact_hash), path(path_hash)
     {
     }
 
-    std::uint64_t request; ///< The result of `request_fingerprint`.
+    std::uint64_t exact; ///< The result of `request_fingerprint`.
     /// The same for requests that differ in query, body or in methods of equal safety; 0 if none.
     std::uint64_t path;
 };
@@ -239,7 +239,7 @@
     };
 
     struct call {
-        request_identity request{0};
+        request_identity identity{0};
         bool holds_suspect_slot = false; ///< It is the one suspect that may run.
         bool running = false;
         bool in_counted_crash = false; ///< Was running at a crash that is already counted.
@@ -248,7 +248,7 @@
 
     /// A call that was running at a crash or may have been.
     struct call_in_flight {
-        request_identity request{0};
+        request_identity identity{0};
         bool held_suspect_slot = false;
         time_point started_at;
     };
@@ -266,8 +266,10 @@
     };
 
     shard& shard_of(std::uint64_t fingerprint) const;
-    guard_check counted_state(const entry& known, time_point now) const;
+    guard_check stored_state(const entry& known, time_point now) const;
+    /// As `stored_state`, but a path with less than `min_path_crashes` is no suspect yet.
     guard_check current_state(std::uint64_t fingerprint, const entry& known, time_point now) const;
+    /// As `check`, but a request to a suspect path is suspect.
     guard_check gate_state(const request_identity& request, time_point now) const;
     void record_path_success(std::uint64_t path, time_point now);
     bool path_succeeded_recently(std::uint64_t path, time_point now) const;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -151,7 +151,7 @@
     if (known.state == suspicion::blocked) {
         owner_->counters.crash_refusals.add();
         owner_->log.request("crash_guard_refused", context_.request_id,
-                            {{"fingerprint", identity.request},
+                            {{"fingerprint", identity.exact},
                              {"path_fingerprint", identity.path},
                              {"rule", rule_->name}},
                             started_);
@@ -364,7 +364,7 @@
         return;
     case call_outcome::crashed:
         suspect_ = true;
-        owner_->guard.suspect(identity_of(exchange_->request()).request, owner_->loop.now());
+        owner_->guard.suspect(identity_of(exchange_->request()).exact, owner_->loop.now());
         after_failure(metadata, 502);
         return;
     case call_outcome::failed:
--- a/src/crash_guard.cpp
+++ b/src/crash_guard.cpp
@@ -71,7 +71,7 @@
     return shards_[fingerprint % shards_.size()];
 }
 
-guard_check crash_guard::counted_state(const entry& known, time_point now) const
+guard_check crash_guard::stored_state(const entry& known, time_point now) const
 {
     if (known.state == suspicion::none || known.expires_at <= now) {
         return {};
@@ -93,10 +93,10 @@
 guard_check crash_guard::current_state(std::uint64_t fingerprint, const entry& known,
                                        time_point now) const
 {
-    const guard_check counted = counted_state(known, now);
-    const bool is_counted_only = is_path(fingerprint) && counted.state == suspicion::suspect &&
+    const guard_check stored = stored_state(known, now);
+    const bool is_counted_only = is_path(fingerprint) && stored.state == suspicion::suspect &&
                                  known.blocks == 0 && known.crashes < options_.min_path_crashes;
-    return is_counted_only ? guard_check() : counted;
+    return is_counted_only ? guard_check() : stored;
 }
 
 guard_check crash_guard::check(std::uint64_t fingerprint, time_point now) const
@@ -113,7 +113,7 @@
 
 guard_check crash_guard::check(const request_identity& request, time_point now) const
 {
-    const guard_check known = check(request.request, now);
+    const guard_check known = check(request.exact, now);
     const guard_check path = check(request.path, now);
     const bool path_decides =
         path.state == suspicion::blocked &&
@@ -182,7 +182,7 @@
     shard& owning_shard = shard_of(fingerprint);
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     entry& known = find_or_insert(owning_shard, fingerprint, now);
-    if (counted_state(known, now).state == suspicion::none) {
+    if (stored_state(known, now).state == suspicion::none) {
         const std::uint32_t blocks = known.expires_at <= now ? 0 : known.blocks;
         const time_point keep_until = known.expires_at;
         known = {};
@@ -224,7 +224,7 @@
     const time_point end = now + length;
     // Reports of the same block differ in their end by the network delay, which is not a change.
     const bool changed =
-        counted_state(known, now).state != suspicion::blocked || known.blocks < blocks;
+        stored_state(known, now).state != suspicion::blocked || known.blocks < blocks;
     if (!changed) {
         return false;
     }
@@ -271,7 +271,7 @@
 
 bool crash_guard::is_undecided(const request_identity& request, time_point now) const
 {
-    return is_undecided(request.request, now) || is_undecided(request.path, now);
+    return is_undecided(request.exact, now) || is_undecided(request.path, now);
 }
 
 std::optional<crash_report> crash_guard::begin_trial(const request_identity& request,
@@ -279,7 +279,7 @@
 {
     // The trial of a path includes that of its requests.
     std::optional<crash_report> trial = begin_trial(request.path, now);
-    return trial ? trial : begin_trial(request.request, now);
+    return trial ? trial : begin_trial(request.exact, now);
 }
 
 std::optional<crash_report> crash_guard::begin_trial(std::uint64_t fingerprint, time_point now)
@@ -317,7 +317,7 @@
 
 void crash_guard::clear(const request_identity& request, guard_actions& actions, time_point now)
 {
-    for (const std::uint64_t fingerprint : {request.request, request.path}) {
+    for (const std::uint64_t fingerprint : {request.exact, request.path}) {
         const std::optional<std::uint32_t> blocks = clear(fingerprint, now);
         // Other nodes clear a path that was not blocked by successes of their own.
         if (blocks && (!is_path(fingerprint) || *blocks > 0)) {
@@ -334,11 +334,11 @@
                                   time_point now)
 {
     if (suspected) {
-        make_suspect(request.request, 1, now);
+        make_suspect(request.exact, 1, now);
     }
     const std::lock_guard<std::mutex> lock(calls_mutex_);
     call& entered = calls_[id];
-    entered.request = request;
+    entered.identity = request;
     return admit(id, entered, now);
 }
 
@@ -351,7 +351,7 @@
     }
     call& queued = found->second;
     if (queued.holds_suspect_slot) {
-        const guard_check known = gate_state(queued.request, now);
+        const guard_check known = gate_state(queued.identity, now);
         if (known.state == suspicion::blocked) {
             // The call remains until `leave`, which admits the calls that wait for the suspect
             // slot.
@@ -365,7 +365,7 @@
         queued.running = true;
         queued.started_at = now;
         if (queued.holds_suspect_slot) {
-            result.trial = begin_trial(queued.request, now);
+            result.trial = begin_trial(queued.identity, now);
         }
     }
     return result;
@@ -373,7 +373,7 @@
 
 guard_decision crash_guard::admit(std::uint64_t id, call& entered, time_point now)
 {
-    const guard_check known = gate_state(entered.request, now);
+    const guard_check known = gate_state(entered.identity, now);
     if (known.state == suspicion::none) {
         return {};
     }
@@ -396,7 +396,7 @@
     std::deque<std::uint64_t> still_waiting;
     for (const std::uint64_t id : waiting_) {
         call& next = calls_.at(id);
-        const suspicion state = gate_state(next.request, now).state;
+        const suspicion state = gate_state(next.identity, now).state;
         if (state == suspicion::blocked) {
             calls_.erase(id);
             actions.refuse.push_back(id);
@@ -453,9 +453,9 @@
         record_response(now);
     }
     if (end == call_end::succeeded) {
-        record_path_success(ended.request.path, now);
+        record_path_success(ended.identity.path, now);
         if (size() > 0) {
-            clear(ended.request, actions, now);
+            clear(ended.identity, actions, now);
         }
     }
     release(actions, now);
@@ -476,7 +476,7 @@
             unanswered_.pop_front();
         }
         unanswered_.push_back(
-            {{ended.request, ended.holds_suspect_slot, ended.started_at}, false, runs_until});
+            {{ended.identity, ended.holds_suspect_slot, ended.started_at}, false, runs_until});
     }
     release(actions, now);
     return actions;
@@ -490,7 +490,7 @@
         if (candidate.running && !candidate.in_counted_crash) {
             candidate.in_counted_crash = true;
             result.push_back(
-                {candidate.request, candidate.holds_suspect_slot, candidate.started_at});
+                {candidate.identity, candidate.holds_suspect_slot, candidate.started_at});
         }
     }
     return result;
@@ -536,7 +536,7 @@
     const std::lock_guard<std::mutex> lock(owning_shard.mutex);
     const auto found = owning_shard.entries.find(fingerprint);
     if (found == owning_shard.entries.end() ||
-        counted_state(found->second, now).state == suspicion::none) {
+        stored_state(found->second, now).state == suspicion::none) {
         return {};
     }
     return {found->second.crashes, found->second.separate_crashes,
@@ -550,7 +550,7 @@
     const time_point silent_since = std::max(last_response_, earliest_start);
     const bool upstream_was_silent = candidate.started_at - silent_since > options_.max_silence;
     return candidate.held_suspect_slot && !upstream_was_silent &&
-           is_undecided(candidate.request, now);
+           is_undecided(candidate.identity, now);
 }
 
 std::optional<std::uint64_t> crash_guard::find_cause(const std::vector<call_in_flight>& in_flight,
@@ -563,8 +563,8 @@
     std::vector<std::pair<std::uint32_t, std::uint64_t>> candidates;
     for (const call_in_flight& each : in_flight) {
         if (identifies_crash(each, earliest_start, now)) {
-            candidates.emplace_back(crashes_of(each.request.request, now).crashes,
-                                    each.request.request);
+            candidates.emplace_back(crashes_of(each.identity.exact, now).crashes,
+                                    each.identity.exact);
         }
     }
     std::sort(candidates.rbegin(), candidates.rend());
@@ -580,25 +580,26 @@
     const std::optional<std::uint64_t> cause = find_cause(in_flight, now);
     std::map<std::uint32_t, crash_report> suspects_by_crashes;
     absl::flat_hash_set<std::uint64_t> counted;
+    const auto attribute = [&](std::uint64_t fingerprint, bool identified) {
+        if (!counted.insert(fingerprint).second) {
+            return;
+        }
+        if (identified && !crashes_of(fingerprint, now).decided) {
+            actions.reports.push_back(block(fingerprint, now));
+        }
+        else {
+            count_crash(fingerprint, suspects_by_crashes, actions, now);
+        }
+    };
     for (const call_in_flight& each : in_flight) {
-        const bool is_cause = each.request.request == cause;
+        const request_identity& identity = each.identity;
+        const bool is_cause = identity.exact == cause;
+        const bool crashed_before = crashes_of(identity.exact, now).crashes > 0;
+        const bool path_is_cause = is_cause && is_undecided(identity.path, now);
+        attribute(identity.exact, is_cause);
         // A path counts once for each fingerprint: further crashes tell of the request only.
-        const bool counts_for_path = crashes_of(each.request.request, now).crashes == 0 &&
-                                     !path_succeeded_recently(each.request.path, now);
-        const bool path_is_cause = is_cause && is_undecided(each.request.path, now);
-        for (const auto& [fingerprint, identified] :
-             {std::make_pair(each.request.request, is_cause),
-              std::make_pair(each.request.path, path_is_cause)}) {
-            const bool ignored = fingerprint == 0 || (is_path(fingerprint) && !counts_for_path);
-            if (ignored || !counted.insert(fingerprint).second) {
-                continue;
-            }
-            if (identified && !crashes_of(fingerprint, now).decided) {
-                actions.reports.push_back(block(fingerprint, now));
-            }
-            else {
-                count_crash(fingerprint, suspects_by_crashes, actions, now);
-            }
+        if (identity.path != 0 && !crashed_before && !path_succeeded_recently(identity.path, now)) {
+            attribute(identity.path, path_is_cause);
         }
     }
     for (std::pair<const std::uint32_t, crash_report>& each : suspects_by_crashes) {
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -360,7 +360,7 @@
                             {{"outcome", name_of(outcome)},
                              {"reason", reason},
                              {"rule", metadata_.rule},
-                             {"fingerprint", identity_.request},
+                             {"fingerprint", identity_.exact},
                              {"instance", instance_},
                              {"running", load.running},
                              {"queued", load.queued},
--- a/src/outbound_call.cpp
+++ b/src/outbound_call.cpp
@@ -142,7 +142,7 @@
     keyed_request request;
     request.tenant = route_->tenant;
     request.key = std::string(exchange_->request().headers.get("Idempotency-Key"));
-    request.fingerprint = identity().request;
+    request.fingerprint = identity().exact;
     request.time_left = time_left();
     claimed_request_ = request;
     if (!owner_->hooks.claim) {
@@ -201,7 +201,7 @@
     request.tried = tried_;
     request.allow_trial = !route_->assigned_class->once;
     if (suspect_) {
-        request.affinity_key = identity().request;
+        request.affinity_key = identity().exact;
     }
     // The lease of the claim may have expired while this process was paused; the request must then
     // not be sent.
@@ -364,12 +364,12 @@
     if (!suspect_) {
         // The next attempt carries the suspect flag, because it may reach its node before the crash
         // report does.
-        owner_->guard.suspect(identity().request, worker_.now());
+        owner_->guard.suspect(identity().exact, worker_.now());
         suspect_ = true;
         on_attempt_failed(attempt_failure::unanswered, milliseconds(0));
         return;
     }
-    owner_->guard.confirm(identity().request, worker_.now());
+    owner_->guard.confirm(identity().exact, worker_.now());
     owner_->counters.blocked.add();
     retry_decision decision;
     decision.status = route_->assigned_class->once ? 504 : 502;
@@ -390,7 +390,7 @@
 void outbound_call::clear_suspicion()
 {
     crash_report report;
-    report.fingerprint = identity().request;
+    report.fingerprint = identity().exact;
     report.cleared = true;
     owner_->guard.receive(report, worker_.now());
 }
