sidecar: log since when a node is behind, and why

Cause: a node that answers 404 on an older version left no trace of what it had heard of, since when, and what it waited for; the hypotheses of the incident could not be told apart. Change: version_progress keeps the newer versions that a node has heard of. New: version_heard, once for each version and node; behind_for, failed_fetches and bytes in configuration_in_force; connected, in_force, newest and behind_for in configuration_fetch_failed; in_force_for, newest_heard and behind_for in request_unrouted; peer_connections_full and two series for open connections.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -119,6 +119,9 @@
         owner_->counters.unrouted.add();
         owner_->log.request("request_unrouted", context_.request_id,
                             {{"version", version_},
+                             {"in_force_for", owner_->versions.in_force_for(started_)},
+                             {"newest_heard", owner_->versions.newest()},
+                             {"behind_for", owner_->versions.behind_for(started_)},
                              {"host", request.headers.get("Host")},
                              {"target", std::string_view(request.target).substr(0, 60)}},
                             started_);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -102,7 +102,9 @@
       peers_known(data.gauge_of("agatespread_peers_known")),
       queued(data.gauge_of("agatespread_gate_queued")),
       crash_fingerprints(data.gauge_of("agatespread_crash_fingerprints")),
-      upstream_rate_limit(data.gauge_of("agatespread_upstream_rate_limit"))
+      upstream_rate_limit(data.gauge_of("agatespread_upstream_rate_limit")),
+      caller_connections(data.gauge_of("agatespread_caller_connections")),
+      peer_connections(data.gauge_of("agatespread_call_connections"))
 {
 }
 
@@ -235,6 +237,9 @@
 void sidecar::impl::close_idle_connections()
 {
     const std::size_t limit = settings.caller_connections;
+    counters.caller_connections.set(static_cast<std::int64_t>(caller_listener->connections()));
+    counters.peer_connections.set(static_cast<std::int64_t>(call_listener->connections()));
+    log_full_listener();
     if (caller_listener->connections() * 10 < limit * 8) {
         return;
     }
@@ -246,6 +251,18 @@
     caller_listener->close_idle(min_idle_before_close);
 }
 
+void sidecar::impl::log_full_listener()
+{
+    const std::size_t open = call_listener->connections();
+    const bool full = open >= settings.peer_connections;
+    if (full != call_listener_full) {
+        call_listener_full = full;
+        log.change(full ? "peer_connections_full" : "peer_connections_free",
+                   {{"connections", static_cast<std::uint64_t>(open)},
+                    {"limit", static_cast<std::uint64_t>(settings.peer_connections)}});
+    }
+}
+
 void sidecar::impl::send_report()
 {
     send_report(true);
@@ -287,6 +304,11 @@
             blocks.forget(crash.fingerprint);
         }
     }
+    if (versions.hear(report->in_force, now)) {
+        log.change("version_heard", {{"version", report->in_force},
+                                     {"from", report->entry.node},
+                                     {"in_force", versions.in_force()}});
+    }
     const bool is_ahead = report->in_force > (table ? table->version() : 0);
     if (is_ahead && !fetch_scheduled && fetches_in_flight.size() < detail::max_concurrent_fetches) {
         schedule_fetch(fetch_delay(report->entry));
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -9,6 +9,7 @@
 #include <agatespread/failure_rate.h>
 #include <agatespread/link_backlog.h>
 #include <agatespread/sidecar.h>
+#include <agatespread/version_progress.h>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -71,6 +72,8 @@
     gauge& queued;
     gauge& crash_fingerprints;  ///< Suspect and blocked.
     gauge& upstream_rate_limit; ///< Requests per second, rounded up; 0 for none.
+    gauge& caller_connections;  ///< Open.
+    gauge& peer_connections;    ///< Open, from other nodes.
 };
 
 } // namespace detail
@@ -99,6 +102,7 @@
     void send_report(const std::vector<peer_entry>& recipients);
     void share_crash_state(time_point now);
     void close_idle_connections();
+    void log_full_listener();
     reported_load own_load() const;
     std::string next_report(std::vector<crash_report> crashes);
     void receive_report(std::string_view bytes);
@@ -113,6 +117,7 @@
     void fetch_from_peer();
     void send_fetch(const peer_entry& peer);
     void handle_fetched_configuration(const http_result& result, const node_id& node);
+    void log_failed_fetch(const node_id& node, bool connected, const std::string& error);
     void update_reader_role(time_point now);
 
     void probe_upstream();
@@ -157,6 +162,8 @@
     std::map<std::string, std::chrono::milliseconds> longest_waits;
 
     std::shared_ptr<const routing_table> table;
+    version_progress versions;
+    std::uint32_t failed_fetches = 0; ///< Since the last version came into force.
     std::string document; ///< The operator's document of the configuration in force, compressed.
     weighted_round_robin shares;
     repeat_budget retries;
@@ -176,6 +183,7 @@
     http_client client; ///< Connects to other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
     std::unique_ptr<http_server> call_listener;
+    bool call_listener_full = false;
     std::unique_ptr<datagram_socket> reports;
 
     std::unique_ptr<row_watch> configuration_watch;
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -126,6 +126,7 @@
     if ((*read)->version() <= before) {
         return false;
     }
+    const time_point now = loop.now();
     table = *std::move(read);
     document = detail::deflate_bytes(next);
     counters.version.set(static_cast<std::int64_t>(table->version()));
@@ -133,8 +134,12 @@
     log.change("configuration_in_force", {{"version", table->version()},
                                           {"before", before},
                                           {"rules", static_cast<std::uint64_t>(table->size())},
-                                          {"source", source}});
-    const time_point now = loop.now();
+                                          {"bytes", static_cast<std::uint64_t>(document.size())},
+                                          {"source", source},
+                                          {"behind_for", versions.behind_for(now)},
+                                          {"failed_fetches", failed_fetches}});
+    versions.take(table->version(), now);
+    failed_fetches = 0;
     const bool is_reader = reading_configuration && known_peers.is_reader(readers_per_domain, now);
     send_report(known_peers.version_recipients(is_reader, random, now));
     return true;
@@ -292,7 +297,7 @@
 void sidecar::impl::handle_fetched_configuration(const http_result& result, const node_id& node)
 {
     if (result.outcome != http_outcome::answered || result.response.status != 200) {
-        log.change("configuration_fetch_failed", {{"peer", node}, {"error", result.error}});
+        log_failed_fetch(node, result.sent, result.error);
         if (!fetch_scheduled) {
             schedule_fetch(uniform_between(random, milliseconds(1), near_fetch_jitter));
         }
@@ -301,13 +306,25 @@
     const absl::StatusOr<std::string> fetched =
         detail::inflate_bytes(result.response.body, max_configuration_bytes);
     if (!fetched.ok()) {
-        log.change("configuration_fetch_failed",
-                   {{"peer", node}, {"error", std::string(fetched.status().message())}});
+        log_failed_fetch(node, true, std::string(fetched.status().message()));
         return;
     }
     apply_configuration(*fetched, node);
 }
 
+void sidecar::impl::log_failed_fetch(const node_id& node, bool connected, const std::string& error)
+{
+    ++failed_fetches;
+    log.change("configuration_fetch_failed",
+               {{"peer", node},
+                {"connected", connected ? 1 : 0},
+                {"in_force", versions.in_force()},
+                {"newest", versions.newest()},
+                {"behind_for", versions.behind_for(loop.now())},
+                {"in_flight", static_cast<std::uint64_t>(fetches_in_flight.size())},
+                {"error", error}});
+}
+
 void sidecar::impl::update_reader_role(time_point now)
 {
     // Without a version in force each node is a reader, because possibly no peer has a version.
