platform feed tests: a version behind silent peers, silent readers and open connections (red)

Change: a node with three peers, two of which accept a fetch and never answer; a node with sound connections behind two readers whose connections fall silent as a poll begins; the connections that are open after 19 fetches. The stand-in of the store counts the polls that wait.

--- a/test/platform_feed-test.cpp
+++ b/test/platform_feed-test.cpp
@@ -61,21 +61,23 @@
         }
     };
 
+    /// Starts a node that reaches its store by the proxy, or by `store_address` if it is not empty.
     void start_node(const std::string& name, const std::string& domain,
-                    const std::string& report_address)
+                    const std::string& report_address, const std::string& store_address = {})
     {
         nodes.push_back(std::make_unique<test_node>());
         test_node& started = *nodes.back();
         started.name = name;
         thread.call([&] {
-            started.store = std::make_unique<table_store>(thread.loop(), proxy->address());
+            started.store = std::make_unique<table_store>(
+                thread.loop(), store_address.empty() ? proxy->address() : store_address);
             sidecar_settings settings;
             settings.node = name;
             settings.failure_domain = domain;
             settings.service = "rounds";
             settings.report_address = report_address;
             settings.upstream_address = "127.0.0.1:1";
-            settings.log.descriptor = -1;
+            settings.log.descriptor = ::getenv("SIDECAR_LOG") != nullptr ? 1 : -1;
             started.process = sidecar::start(thread.loop(), *started.store, started.data, settings,
                                              test::test_dialect(), [this] { return engine(); })
                                   .value();
@@ -115,6 +117,19 @@
         });
     }
 
+    /// Waits until a node has a version in force.
+    bool in_force(test_node& node, std::int64_t version)
+    {
+        return thread.eventually([&node, version] { return node.version() >= version; });
+    }
+
+    test_node& node(const std::string& name)
+    {
+        return **std::find_if(
+            nodes.begin(), nodes.end(),
+            [&name](const std::unique_ptr<test_node>& each) { return each->name == name; });
+    }
+
     loop_thread thread;
     std::unique_ptr<platform_table_server> server;
     std::unique_ptr<silent_proxy> proxy;
@@ -251,6 +266,113 @@
     });
 }
 
+// Guards against a node whose versions come from readers that wait for a silent store, while its
+// own connections to the store work.
+TEST_F(platform_feed, version_is_in_force_in_time_behind_readers_whose_connections_fell_silent)
+{
+    constexpr int rounds = 3;
+    configure(1);
+    start_node("a", "cairo", free_report_address());
+    start_node("b", "cairo", free_report_address());
+    start_node("z", "cairo", free_report_address(),
+               thread.call([this] { return server->address(); }));
+    ASSERT_TRUE(in_force(1));
+    int version = 1;
+    for (int round = 0; round < rounds; ++round) {
+        configure(++version);
+        ASSERT_TRUE(in_force(version));
+        // The silence lasts longest for a poll that has just begun.
+        ASSERT_TRUE(thread.eventually([this] { return server->waiting_polls("operator") == 2; }));
+        proxy->silence_open_connections();
+        const time_point written_at = steady_clock::now();
+        configure(++version);
+        ASSERT_TRUE(in_force(node("z"), version));
+        EXPECT_LT(elapsed_since(written_at).count(), config_apply.count()) << "ms, round " << round;
+        ASSERT_TRUE(in_force(version));
+    }
+}
+
+// Guards against a node that asks no further peer for a version while two fetches wait for peers
+// that do not answer.
+TEST_F(platform_feed, version_is_in_force_in_time_although_two_peers_do_not_answer)
+{
+    constexpr int last_version = 9;
+    configure(1);
+    const std::string report_address = free_report_address();
+    start_node("z", "cairo", report_address);
+    ASSERT_TRUE(in_force(1));
+    int version = 1;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    std::vector<std::unique_ptr<http_server>> servers;
+    std::unique_ptr<datagram_socket> reports;
+    std::vector<peer_report> peers(3);
+    subscription reporting;
+    thread.call([&] {
+        for (peer_report& report : peers) {
+            const bool answers = servers.size() == 2;
+            servers.push_back(
+                http_server::listen(thread.loop(), "127.0.0.1:0", {},
+                                    [&, answers](const std::shared_ptr<http_exchange>& exchange) {
+                                        if (!answers) {
+                                            unanswered.push_back(exchange);
+                                            return;
+                                        }
+                                        http_response response;
+                                        response.body = detail::deflate_bytes(
+                                            std::to_string(version) + " 1000 idempotent rounds");
+                                        exchange->respond(std::move(response));
+                                    })
+                    .value());
+            report.entry = {std::string(1, static_cast<char>('a' + servers.size())), "cairo",
+                            "rounds", servers.back()->address(), "127.0.0.1:9"};
+            report.incarnation = 1;
+        }
+        reports =
+            datagram_socket::open(thread.loop(), "127.0.0.1:0", [](std::string_view) {}).value();
+        reporting = thread.loop().every(milliseconds(50), [&](time_point) {
+            for (peer_report& report : peers) {
+                report.in_force = static_cast<config_version>(version);
+                ++report.sequence;
+                reports->send(report_address, encode_report(report));
+            }
+        });
+    });
+    for (int next = 2; next <= last_version; ++next) {
+        const time_point reported_at = steady_clock::now();
+        thread.call([&] { version = next; });
+        ASSERT_TRUE(in_force(next));
+        EXPECT_LT(elapsed_since(reported_at).count(), fetch_share.count()) << "ms, " << next;
+    }
+    thread.call([&] {
+        reporting.cancel();
+        reports.reset();
+        unanswered.clear();
+        servers.clear();
+    });
+}
+
+// Guards against fetches whose connections stay open and fill the peer's listener.
+TEST_F(platform_feed, fetches_leave_no_connections_open)
+{
+    constexpr int last_version = 20;
+    constexpr int max_open = 4; // Of the last fetch and one beside it, at two peers.
+    configure(1);
+    for (const char* const name : {"a", "b", "z"}) {
+        start_node(name, "cairo", free_report_address());
+    }
+    ASSERT_TRUE(in_force(1));
+    for (int version = 2; version <= last_version; ++version) {
+        configure(version);
+        ASSERT_TRUE(in_force(version));
+    }
+    std::this_thread::sleep_for(milliseconds(200)); // Two report periods, which update the series.
+    std::int64_t open = 0;
+    for (const std::unique_ptr<test_node>& each : nodes) {
+        open += each->data.gauge_of("agatespread_call_connections").value();
+    }
+    EXPECT_LE(open, max_open);
+}
+
 // Guards against a reader that misses the configuration which is written after the store returned
 // from an older copy.
 TEST_F(platform_feed, version_written_after_a_return_from_a_copy_is_in_force_in_time)
--- a/test/platform_table_server.h
+++ b/test/platform_table_server.h
@@ -6,6 +6,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -43,6 +44,16 @@
         return state_.rows.count({table, key}) > 0;
     }
 
+    /// Returns the number of long polls of a table that wait for a change.
+    std::size_t waiting_polls(const std::string& table) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(polls_.begin(), polls_.end(),
+                          [&table](const std::pair<const std::uint64_t, poll>& each) {
+                              return each.second.table == table;
+                          }));
+    }
+
     /// Refuses all calls, also the polls that wait.
     void set_down(bool down)
     {
