sidecar: close the connection of a fetched version

Callers would see: 404 or an old route, once a listener for other nodes is at its limit and accepts no connection, as fetches then time out. Cause: each fetch opens a connection and left it in the client's cache; the peer keeps it for 60 s. All nodes of a failure domain fetch from the same few peers, so that versions times nodes count. Change: http_call::close_connection, set for fetches.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -144,7 +144,8 @@
     std::chrono::milliseconds timeout = std::chrono::seconds(5);
     std::chrono::milliseconds connect_timeout{0}; ///< 0 means `timeout`.
     std::size_t max_response_bytes = 8U << 20U;
-    bool new_connection = false; ///< Opens a connection instead of using an idle one.
+    bool new_connection = false;   ///< Opens a connection instead of using an idle one.
+    bool close_connection = false; ///< Closes the connection after the response.
     /// Accepts a body without a length that ends with an orderly close of the connection, even if
     /// the response has no field "Connection: close".
     bool allow_close_delimited_body = false;
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -141,6 +141,7 @@
     failed_ = false;
     curl_easy_setopt(easy_, CURLOPT_URL, call_.url.c_str());
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, call_.new_connection ? 1L : 0L);
+    curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, call_.close_connection ? 1L : 0L);
     const long timeout = static_cast<long>(call_.timeout.count());
     curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, timeout);
     const long connect = static_cast<long>(call_.connect_timeout.count());
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -284,6 +284,8 @@
     call.timeout = fetch_timeout;
     call.max_response_bytes = max_configuration_bytes;
     call.new_connection = true; // An idle one may have fallen silent.
+    // All nodes of the failure domain fetch from the same few peers, whose listeners have a limit.
+    call.close_connection = true;
     client.send(std::move(call),
                 [weak = weak_from_this(), node = peer.node](const http_result& result) {
                     const std::shared_ptr<impl> self = weak.lock();
