http client: a connection no longer inherits the dead watch of a socket that was given up

Callers saw: 404 for a route of an acknowledged version, from a node that was behind because its fetches timed out; also 504 for requests whose connection to another node got no events. Cause: libcurl 7.88 closes a socket with close() instead of the callback if it gives up the connection attempt (connect timeout, or a cancelled call). curl_loop kept its entry for the number. The next socket with that number was not entered (emplace on an existing key), and the destructor of its unused entry took it out of the reactor. That connection got no event: libcurl noticed the connect by its own timer after 200 ms and the response never, so the call ended at its timeout. Change: an entry ends when libcurl stops watching a socket that never connected, and at the latest when its number is used again; a watch of an unknown socket enters it.

--- a/src/curl_loop.cpp
+++ b/src/curl_loop.cpp
@@ -122,8 +122,9 @@
     if (fd != CURL_SOCKET_BAD) {
         enable_dead_peer_detection(fd);
         curl_loop* const loop = static_cast<curl_loop*>(self);
-        loop->sockets_.emplace(fd, std::make_shared<watched_socket>(loop->context_, fd));
-        loop->unconnected_sockets_.push_back(fd);
+        // libcurl closes a socket whose connection attempt it gives up without calling `on_close`.
+        loop->forget(fd);
+        loop->register_socket(fd);
     }
     return fd;
 }
@@ -131,24 +132,7 @@
 int curl_loop::on_close(void* self, curl_socket_t fd)
 {
     curl_loop* const loop = static_cast<curl_loop*>(self);
-    const auto found = loop->sockets_.find(fd);
-    if (found != loop->sockets_.end()) {
-        const std::shared_ptr<watched_socket> socket = found->second;
-        const auto range = loop->by_ports_.equal_range(socket->ports);
-        for (auto entry = range.first; entry != range.second; ++entry) {
-            if (entry->second == fd) {
-                loop->by_ports_.erase(entry);
-                break;
-            }
-        }
-        loop->unconnected_sockets_.erase(
-            std::remove(loop->unconnected_sockets_.begin(), loop->unconnected_sockets_.end(), fd),
-            loop->unconnected_sockets_.end());
-        socket->poll_events = 0;
-        // Must not refer to the descriptor any more: its number may be reused by another socket.
-        socket->descriptor.release();
-        loop->sockets_.erase(found);
-    }
+    loop->forget(fd);
     if (loop->resetting_) {
         const linger reset{1, 0};
         ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -156,6 +140,41 @@
     return ::close(fd);
 }
 
+std::shared_ptr<curl_loop::watched_socket> curl_loop::register_socket(curl_socket_t fd)
+{
+    unconnected_sockets_.push_back(fd);
+    return sockets_.emplace(fd, std::make_shared<watched_socket>(context_, fd)).first->second;
+}
+
+void curl_loop::forget(curl_socket_t fd)
+{
+    const auto found = sockets_.find(fd);
+    if (found == sockets_.end()) {
+        return;
+    }
+    const std::shared_ptr<watched_socket> socket = found->second;
+    const auto range = by_ports_.equal_range(socket->ports);
+    for (auto entry = range.first; entry != range.second; ++entry) {
+        if (entry->second == fd) {
+            by_ports_.erase(entry);
+            break;
+        }
+    }
+    unconnected_sockets_.erase(
+        std::remove(unconnected_sockets_.begin(), unconnected_sockets_.end(), fd),
+        unconnected_sockets_.end());
+    socket->poll_events = 0;
+    // Must not refer to the descriptor any more: its number may be reused by another socket.
+    socket->descriptor.release();
+    sockets_.erase(found);
+}
+
+bool curl_loop::is_connected(curl_socket_t fd) const
+{
+    return std::find(unconnected_sockets_.begin(), unconnected_sockets_.end(), fd) ==
+           unconnected_sockets_.end();
+}
+
 bool curl_loop::is_usable(int local_port, int remote_port)
 {
     const std::vector<curl_socket_t> unconnected = std::exchange(unconnected_sockets_, {});
@@ -224,12 +243,15 @@
 
 void curl_loop::watch(curl_socket_t fd, int poll_events)
 {
-    const auto found = sockets_.find(fd);
-    if (found == sockets_.end()) {
+    if (poll_events == CURL_POLL_REMOVE && !is_connected(fd)) {
+        // Probably closed already, see `on_open`. If not, the next wait registers it again.
+        forget(fd);
         return;
     }
+    const auto found = sockets_.find(fd);
+    const std::shared_ptr<watched_socket> socket =
+        found != sockets_.end() ? found->second : register_socket(fd);
     // The descriptor stays registered with the reactor while its connection is idle.
-    const std::shared_ptr<watched_socket> socket = found->second;
     socket->poll_events = poll_events == CURL_POLL_REMOVE ? 0 : poll_events;
     poll_events = socket->poll_events;
     if ((poll_events & CURL_POLL_IN) != 0 && !socket->waiting_to_read) {
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -51,6 +51,9 @@
     static int on_socket(CURL* easy, curl_socket_t fd, int poll_events, void* self, void* watch);
     static int on_timer(CURLM* multi, long delay_ms, void* self);
 
+    std::shared_ptr<watched_socket> register_socket(curl_socket_t fd);
+    void forget(curl_socket_t fd);
+    bool is_connected(curl_socket_t fd) const;
     void watch(curl_socket_t fd, int poll_events);
     void wait(const std::shared_ptr<watched_socket>& socket, bool writing);
     void set_timer(long delay_ms);
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -14,6 +14,37 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
+/// Listens without accepting and with a full queue, so that further connection attempts stay
+/// pending until they are given up.
+class full_listener {
+public:
+    full_listener() : acceptor_(context_)
+    {
+        acceptor_.open(asio::ip::tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+        constexpr int more_than_the_queue_holds = 4;
+        for (int count = 0; count < more_than_the_queue_holds; ++count) {
+            fillers_.emplace_back(context_);
+            fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                          [](const asio::error_code&) {});
+        }
+        context_.run_for(milliseconds(20));
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> fillers_;
+};
+
 struct http_fixture : ::testing::Test {
     void SetUp() override
     {
@@ -474,4 +505,52 @@
 
 } // namespace
 
+// Guards against a connection that gets no events, because its socket has the number of one that
+// was closed while its connection attempt was pending.
+TEST_F(http, connections_work_after_connection_attempts_that_were_given_up)
+{
+    constexpr int rounds = 3;
+    constexpr int concurrent = 4;
+    const full_listener unreachable;
+    for (int round = 0; round < rounds; ++round) {
+        std::atomic<int> given_up{0};
+        thread.call([&] {
+            for (int count = 0; count < concurrent; ++count) {
+                http_call call;
+                call.url = "http://" + unreachable.address() + "/";
+                call.connect_timeout = milliseconds(50);
+                client->send(std::move(call), [&given_up](const http_result& result) {
+                    given_up += result.outcome == http_outcome::not_sent ? 1 : 0;
+                });
+            }
+        });
+        ASSERT_TRUE(thread.eventually([&given_up] { return given_up == concurrent; }));
+        for (int count = 0; count < 2 * concurrent; ++count) {
+            http_call call;
+            call.url = "http://" + server->address() + "/";
+            call.new_connection = true;
+            call.timeout = std::chrono::seconds(2);
+            EXPECT_EQ(send(std::move(call)).outcome, http_outcome::answered) << count;
+        }
+    }
+}
+
+// The same for a call that is cancelled while its connection attempt is pending.
+TEST_F(http, connections_work_after_a_cancelled_connection_attempt)
+{
+    const full_listener unreachable;
+    http_client::call_id id = 0;
+    thread.call([&] {
+        http_call call;
+        call.url = "http://" + unreachable.address() + "/";
+        id = client->send(std::move(call), [](const http_result&) {});
+    });
+    std::this_thread::sleep_for(milliseconds(20));
+    thread.call([&] { client->cancel(id); });
+    http_call call;
+    call.url = "http://" + server->address() + "/";
+    call.timeout = std::chrono::seconds(2);
+    EXPECT_EQ(send(std::move(call)).outcome, http_outcome::answered);
+}
+
 } // namespace agatespread
