sidecar: waits of the distribution of versions follow the platform's bound

Callers saw: 404 for a route of an acknowledged version. Cause: a node that is behind asked at most two peers, and only those with the newest version; while both did not answer it waited for their timeout of 1 s, whatever the bound. A fetched version below the reported one, or a report during two fetches, led to nothing before the next report. No wait was derived from the bound of the platform, which the adapter did not read. A third peer is asked, then peers with an older version that is newer than the own one; a node that is behind for two fifths of the bound reads the platform itself, whatever its role; a fetch that leaves the node behind is followed by another one.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -140,8 +141,9 @@
     std::chrono::milliseconds report_period(bool own_domain) const;
 
     /// Returns the peers that reported the highest version above `version`, from the own failure
-    /// domain or from all other domains.
-    std::vector<peer_entry> ahead_of(config_version version, bool own_domain, time_point now) const;
+    /// domain or from all other domains, without the nodes in `except`.
+    std::vector<peer_entry> ahead_of(config_version version, bool own_domain,
+                                     const std::set<node_id>& except, time_point now) const;
 
     /// Returns the peers that are told of a new version at once: those of the own failure domain,
     /// and, if the own node is a reader, `remote_recipients` random ones of each other domain.
--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -88,6 +88,8 @@
     /// Time for which a node still accepts requests after the start of a shutdown: the platform
     /// stops using a host after two failed readiness checks, which are 1 s apart.
     std::chrono::milliseconds shutdown_delay = std::chrono::milliseconds(2300);
+    /// Time from the acknowledgement of a version by the platform until it must be in force here.
+    std::chrono::milliseconds version_bound = std::chrono::seconds(2);
     repeat_budget_options retries;
     peer_options peers;
     placement_options placement;
--- a/include/agatespread/version_progress.h
+++ b/include/agatespread/version_progress.h
@@ -23,6 +23,9 @@
     /// Returns the newest version that is in force on this node or was heard of.
     config_version newest() const;
 
+    /// Returns whether the node knows of a version above the one in force.
+    bool behind() const { return !newer_.empty(); }
+
     /// Returns the time since the node first heard of a version above the one in force, or 0 if it
     /// knows of none.
     std::chrono::milliseconds behind_for(time_point now) const;
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -440,14 +440,15 @@
 }
 
 std::vector<peer_entry> peers::ahead_of(config_version version, bool own_domain,
-                                        time_point now) const
+                                        const std::set<node_id>& except, time_point now) const
 {
     std::vector<peer_entry> result;
     config_version highest = version;
     for (const std::pair<const node_id, peer>& each : peers_) {
         const peer& subject = each.second;
         if (is_local(subject) != own_domain || !is_alive(subject, now) ||
-            subject.in_force <= version || subject.in_force < highest) {
+            subject.in_force <= version || subject.in_force < highest ||
+            except.count(each.first) > 0) {
             continue;
         }
         if (subject.in_force > highest) {
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -117,7 +117,7 @@
       settings(std::move(initial_settings)), dialect(std::move(platform_dialect)),
       random(std::move(random_engine)),
       log(settings.node, settings.log, [] { return std::chrono::system_clock::now(); }),
-      counters(data), shares(random), retries(settings.retries),
+      counters(data), times(settings.version_bound), shares(random), retries(settings.retries),
       known_peers(settings.node, settings.failure_domain, settings.peers), guard({}),
       crash_state(guard, {}), blocks(
                                   driver, loop, [] { return std::chrono::system_clock::now(); },
@@ -309,9 +309,8 @@
                                      {"from", report->entry.node},
                                      {"in_force", versions.in_force()}});
     }
-    const bool is_ahead = report->in_force > (table ? table->version() : 0);
-    if (is_ahead && !fetch_scheduled && fetches_in_flight.size() < detail::max_concurrent_fetches) {
-        schedule_fetch(fetch_delay(report->entry));
+    if (report->in_force > versions.in_force()) {
+        catch_up(report->entry);
     }
 }
 
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -10,6 +10,7 @@
 #include <agatespread/link_backlog.h>
 #include <agatespread/sidecar.h>
 #include <agatespread/version_progress.h>
+#include <agatespread/version_times.h>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -31,7 +32,7 @@
 /// The path under which a node serves its configuration to other nodes.
 inline constexpr std::string_view configuration_path = "/agatespread/configuration";
 
-inline constexpr std::size_t max_concurrent_fetches = 2; // Of the configuration, from two peers.
+inline constexpr std::size_t max_concurrent_fetches = 3; // Of the configuration, from three peers.
 
 /// Returns the limits of a listener for callers or other nodes.
 http_limits limits_of(const caller_limits& limits, std::size_t connections);
@@ -113,10 +114,15 @@
     void record_departure();
     void log_block_row_error(std::string_view action, const absl::Status& status);
     std::chrono::milliseconds fetch_delay(const peer_entry& ahead) const;
+    /// Arranges for a version that a peer has and this node has not.
+    void catch_up(const peer_entry& ahead);
     void schedule_fetch(std::chrono::milliseconds delay);
     void fetch_from_peer();
     void send_fetch(const peer_entry& peer);
     void handle_fetched_configuration(const http_result& result, const node_id& node);
+    void schedule_platform_read();
+    void read_platform(std::chrono::milliseconds behind);
+    void on_platform_read(absl::StatusOr<std::optional<std::string>> result);
     void log_failed_fetch(const node_id& node, bool connected, const std::string& error);
     void update_reader_role(time_point now);
 
@@ -162,6 +168,7 @@
     std::map<std::string, std::chrono::milliseconds> longest_waits;
 
     std::shared_ptr<const routing_table> table;
+    const version_times times;
     version_progress versions;
     std::uint32_t failed_fetches = 0; ///< Since the last version came into force.
     std::string document; ///< The operator's document of the configuration in force, compressed.
@@ -196,6 +203,8 @@
     std::set<node_id> fetches_in_flight; ///< The peers that are asked for their configuration.
     bool fetch_scheduled = false;
     subscription fetch_timer;
+    bool platform_read_scheduled = false; ///< Or its response is awaited.
+    subscription platform_read_timer;
     subscription entry_timer;
     subscription near_report_timer;
     subscription far_report_timer;
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -14,17 +14,6 @@
 // from these. Two, so that the loss of one causes no delay.
 constexpr std::size_t readers_per_domain = 2;
 
-// A reader waits this long for its own feed before it fetches a version from a peer. The other
-// nodes fetch with jitter, from another failure domain only if no node of their own has the
-// version.
-constexpr milliseconds reader_fetch_delay{400};
-constexpr milliseconds near_fetch_jitter{150};
-constexpr milliseconds far_fetch_delay{300};
-constexpr milliseconds fetch_timeout{1000};
-
-// A second peer is asked after this time: the first one to have a version may be short of CPU time
-// or bandwidth, and all nodes of its failure domain fetch from it.
-constexpr milliseconds fetch_hedge_delay{200};
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
 
 // The longest delay before a node writes its entry again. All nodes do so after an outage or when
@@ -32,25 +21,17 @@
 constexpr milliseconds entry_retry_delay{500};
 constexpr milliseconds entry_spacing{5};
 
-// Delays between the polls of a feed; changes within a delay arrive in one response. The delay of
-// the configuration feed puts a version in force well within the platform's bound of 2 s. The feed
-// of entries may be slow: new nodes announce themselves by their reports, and the feed covers nodes
-// whose reports are lost.
-constexpr milliseconds configuration_poll_delay{200};
+// The feed of entries may be slow: new nodes announce themselves by their reports, and the feed
+// covers nodes whose reports are lost.
 constexpr milliseconds entries_poll_delay = std::chrono::seconds(30);
 
-// Connections to the platform may fall silent, and its return from an older copy shows only in a
-// response. Polls are therefore short: both are noticed, and another node of the failure domain
-// becomes a reader, well within 3 s.
-constexpr milliseconds configuration_poll_timeout = std::chrono::seconds(1);
-
 } // namespace
 
 void sidecar::impl::watch_platform()
 {
     row_watch_options configuration_times;
-    configuration_times.poll_delay = configuration_poll_delay;
-    configuration_times.long_poll_timeout = configuration_poll_timeout;
+    configuration_times.poll_delay = times.poll_delay;
+    configuration_times.long_poll_timeout = times.poll_wait;
     configuration_watch = std::make_unique<row_watch>(driver, loop, dialect.configuration_prefix,
                                                       configuration_times, random);
     configuration_watch->start(
@@ -240,11 +221,19 @@
         return milliseconds(1);
     }
     if (reading_configuration && !configuration_watch->failing()) {
-        return reader_fetch_delay;
+        return times.reader_fetch_delay;
+    }
+    const milliseconds delay =
+        ahead.failure_domain == settings.failure_domain ? milliseconds(1) : times.far_fetch_delay;
+    return uniform_between(random, delay, delay + times.near_fetch_jitter);
+}
+
+void sidecar::impl::catch_up(const peer_entry& ahead)
+{
+    if (!fetch_scheduled && fetches_in_flight.size() < detail::max_concurrent_fetches) {
+        schedule_fetch(fetch_delay(ahead));
     }
-    const bool same_domain = ahead.failure_domain == settings.failure_domain;
-    return uniform_between(random, same_domain ? milliseconds(1) : far_fetch_delay,
-                           same_domain ? near_fetch_jitter : far_fetch_delay + near_fetch_jitter);
+    schedule_platform_read();
 }
 
 void sidecar::impl::schedule_fetch(milliseconds delay)
@@ -258,21 +247,76 @@
 
 void sidecar::impl::fetch_from_peer()
 {
-    const config_version before = table ? table->version() : 0;
-    std::vector<peer_entry> ahead = known_peers.ahead_of(before, true, loop.now());
+    const time_point now = loop.now();
+    const config_version before = versions.in_force();
+    std::vector<peer_entry> ahead = known_peers.ahead_of(before, true, fetches_in_flight, now);
     if (ahead.empty()) {
-        ahead = known_peers.ahead_of(before, false, loop.now());
+        ahead = known_peers.ahead_of(before, false, fetches_in_flight, now);
     }
-    const auto is_asked = [this](const peer_entry& peer) {
-        return fetches_in_flight.count(peer.node) > 0;
-    };
-    ahead.erase(std::remove_if(ahead.begin(), ahead.end(), is_asked), ahead.end());
     if (!ahead.empty()) {
         // A random peer, so that no single link carries the document to all nodes.
         send_fetch(ahead[uniform_below(random, ahead.size())]);
     }
     if (!fetches_in_flight.empty() && fetches_in_flight.size() < detail::max_concurrent_fetches) {
-        schedule_fetch(fetch_hedge_delay);
+        schedule_fetch(times.next_fetch_delay);
+    }
+}
+
+void sidecar::impl::schedule_platform_read()
+{
+    if (platform_read_scheduled) {
+        return;
+    }
+    platform_read_scheduled = true;
+    const milliseconds behind = versions.behind_for(loop.now());
+    platform_read_timer = loop.after(std::max(times.platform_read_delay - behind, milliseconds(1)),
+                                     [this](time_point now) {
+                                         platform_read_scheduled = false;
+                                         const milliseconds behind_now = versions.behind_for(now);
+                                         if (behind_now >= times.platform_read_delay) {
+                                             read_platform(behind_now);
+                                         }
+                                         else if (versions.behind()) {
+                                             schedule_platform_read();
+                                         }
+                                     });
+}
+
+void sidecar::impl::read_platform(milliseconds behind)
+{
+    platform_read_scheduled = true; // Until the response.
+    log.change("configuration_read", {{"in_force", versions.in_force()},
+                                      {"newest", versions.newest()},
+                                      {"behind_for", behind},
+                                      {"failed_fetches", failed_fetches}});
+    driver.read(dialect.configuration_key,
+                [weak = weak_from_this()](absl::StatusOr<std::optional<std::string>> result) {
+                    if (const std::shared_ptr<impl> self = weak.lock()) {
+                        self->platform_read_scheduled = false;
+                        self->on_platform_read(std::move(result));
+                    }
+                });
+}
+
+void sidecar::impl::on_platform_read(absl::StatusOr<std::optional<std::string>> result)
+{
+    if (!result.ok()) {
+        counters.platform_errors.add();
+        log.change("configuration_read_failed",
+                   {{"error", std::string(result.status().message())}});
+    }
+    else if (result->has_value()) {
+        apply_configuration(**result, "platform");
+    }
+    if (versions.behind()) {
+        // The platform may have lost the version, and the nodes that had it may be gone.
+        const milliseconds delay =
+            std::max(times.platform_read_delay, versions.behind_for(loop.now()) / 2);
+        platform_read_scheduled = true;
+        platform_read_timer = loop.after(delay, [this](time_point) {
+            platform_read_scheduled = false;
+            schedule_platform_read();
+        });
     }
 }
 
@@ -281,7 +325,7 @@
     fetches_in_flight.insert(peer.node);
     http_call call;
     call.url = "http://" + peer.call_address + std::string(detail::configuration_path);
-    call.timeout = fetch_timeout;
+    call.timeout = times.fetch_timeout;
     call.max_response_bytes = max_configuration_bytes;
     call.new_connection = true; // An idle one may have fallen silent.
     // All nodes of the failure domain fetch from the same few peers, whose listeners have a limit.
@@ -300,18 +344,21 @@
 {
     if (result.outcome != http_outcome::answered || result.response.status != 200) {
         log_failed_fetch(node, result.sent, result.error);
-        if (!fetch_scheduled) {
-            schedule_fetch(uniform_between(random, milliseconds(1), near_fetch_jitter));
+    }
+    else {
+        const absl::StatusOr<std::string> fetched =
+            detail::inflate_bytes(result.response.body, max_configuration_bytes);
+        if (!fetched.ok()) {
+            log_failed_fetch(node, true, std::string(fetched.status().message()));
+        }
+        else {
+            apply_configuration(*fetched, node);
         }
-        return;
     }
-    const absl::StatusOr<std::string> fetched =
-        detail::inflate_bytes(result.response.body, max_configuration_bytes);
-    if (!fetched.ok()) {
-        log_failed_fetch(node, true, std::string(fetched.status().message()));
-        return;
+    // The peer may have failed, or may itself be behind the node that reported the version.
+    if (versions.behind() && !fetch_scheduled) {
+        schedule_fetch(uniform_between(random, milliseconds(1), times.near_fetch_jitter));
     }
-    apply_configuration(*fetched, node);
 }
 
 void sidecar::impl::log_failed_fetch(const node_id& node, bool connected, const std::string& error)
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -187,12 +187,29 @@
     peer_directory.receive(report_of("a", 1), start);
     peer_directory.receive(newer, start);
     peer_directory.receive(remote, start);
-    ASSERT_EQ(peer_directory.ahead_of(3, true, start).size(), 1U);
-    EXPECT_EQ(peer_directory.ahead_of(3, true, start)[0].node, "b");
-    ASSERT_EQ(peer_directory.ahead_of(3, false, start).size(), 1U);
-    EXPECT_EQ(peer_directory.ahead_of(3, false, start)[0].node, "c");
-    EXPECT_TRUE(peer_directory.ahead_of(9, true, start).empty());
-    EXPECT_TRUE(peer_directory.ahead_of(4, true, start + seconds(5)).empty());
+    ASSERT_EQ(peer_directory.ahead_of(3, true, {}, start).size(), 1U);
+    EXPECT_EQ(peer_directory.ahead_of(3, true, {}, start)[0].node, "b");
+    ASSERT_EQ(peer_directory.ahead_of(3, false, {}, start).size(), 1U);
+    EXPECT_EQ(peer_directory.ahead_of(3, false, {}, start)[0].node, "c");
+    EXPECT_TRUE(peer_directory.ahead_of(9, true, {}, start).empty());
+    EXPECT_TRUE(peer_directory.ahead_of(4, true, {}, start + seconds(5)).empty());
+}
+
+// Guards against a node that asks nobody while the only peer with the newest version is silent.
+TEST(peers, peers_with_an_older_version_are_asked_after_those_with_the_newest)
+{
+    peers peer_directory = directory();
+    const std::vector<std::pair<std::string, config_version>> versions = {
+        {"a", 9}, {"b", 8}, {"c", 7}, {"d", 3}};
+    for (const std::pair<std::string, config_version>& each : versions) {
+        peer_report report = report_of(each.first, 1);
+        report.in_force = each.second;
+        peer_directory.receive(report, start);
+    }
+    ASSERT_EQ(peer_directory.ahead_of(3, true, {"a"}, start).size(), 1U);
+    EXPECT_EQ(peer_directory.ahead_of(3, true, {"a"}, start)[0].node, "b");
+    EXPECT_EQ(peer_directory.ahead_of(3, true, {"a", "b"}, start)[0].node, "c");
+    EXPECT_TRUE(peer_directory.ahead_of(3, true, {"a", "b", "c"}, start).empty());
 }
 
 // Guards against all nodes of a large domain reading the platform, and against a domain without a
--- a/test/version_progress-test.cpp
+++ b/test/version_progress-test.cpp
@@ -20,7 +20,9 @@
     version_progress progress;
     progress.take(1, at(0));
     EXPECT_EQ(progress.behind_for(at(50)), milliseconds(0));
+    EXPECT_FALSE(progress.behind());
     EXPECT_TRUE(progress.hear(2, at(100)));
+    EXPECT_TRUE(progress.behind());
     EXPECT_FALSE(progress.hear(2, at(150)));
     EXPECT_TRUE(progress.hear(4, at(200)));
     EXPECT_EQ(progress.newest(), 4U);
@@ -30,6 +32,7 @@
     progress.take(4, at(350));
     EXPECT_EQ(progress.behind_for(at(400)), milliseconds(0));
     EXPECT_EQ(progress.in_force_for(at(400)), milliseconds(50));
+    EXPECT_FALSE(progress.behind());
 }
 
 TEST(version_progress, older_versions_are_no_news)
