row_watch: a poll without a response is repeated on a new connection

Callers saw: 404 for a route of an acknowledged version, from a host with sound connections. Cause: a poll that the platform did not answer was given up 1,000 ms after the platform should have answered; until then the reader reported that it could read, and the other nodes of its failure domain, which take versions from it, did not read for themselves. A poll that is answered on time costs one timer more.

--- a/include/agatespread/platform.h
+++ b/include/agatespread/platform.h
@@ -97,6 +97,10 @@
     virtual void poll_changes(std::string prefix, feed_position after,
                               std::chrono::milliseconds wait, callback<row_changes> done);
 
+    /// Makes calls of the next seconds use new connections, because open ones may have fallen
+    /// silent. Drivers without connections ignore it.
+    virtual void avoid_open_connections() {}
+
     /// Stores an object under its SHA-256 hash; idempotent.
     virtual void put_object(std::string id, std::string bytes, callback<bool> done) = 0;
 
--- a/include/agatespread/row_watch.h
+++ b/include/agatespread/row_watch.h
@@ -18,6 +18,9 @@
     /// is detected only after this time, so it is short compared with an outage, but long enough
     /// that idle polls cost little.
     std::chrono::milliseconds long_poll_timeout = std::chrono::seconds(15);
+    /// Time after `long_poll_timeout` without a response after which a second poll is sent on a new
+    /// connection; the first response counts. 0 sends none.
+    std::chrono::milliseconds late_poll_delay{0};
     /// Delay between a response and the next poll, so that changes in quick succession share one.
     std::chrono::milliseconds poll_delay = std::chrono::milliseconds(1);
     /// Longest wait after the first failed poll; doubles with each failure up to `max_backoff`.
@@ -62,6 +65,7 @@
 
 private:
     void poll();
+    void send_poll(std::chrono::milliseconds wait);
     void read_all();
     void on_response(absl::StatusOr<row_changes> result);
     void retry();
@@ -81,6 +85,7 @@
     bool failing_ = false;
     std::chrono::milliseconds backoff_{0};
     subscription timer_;
+    subscription late_poll_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/row_watch.cpp
+++ b/src/row_watch.cpp
@@ -52,11 +52,23 @@
     if (idle_) {
         return;
     }
+    ++last_poll_;
     // A platform that fails may return from an older copy, which a short poll shows at once.
     const milliseconds wait = failing_ ? milliseconds(0) : options_.long_poll_timeout;
+    if (options_.late_poll_delay.count() > 0) {
+        late_poll_timer_ = timers_.after(wait + options_.late_poll_delay, [this](time_point) {
+            driver_.avoid_open_connections();
+            send_poll(milliseconds(0));
+        });
+    }
+    send_poll(wait);
+}
+
+void row_watch::send_poll(milliseconds wait)
+{
     driver_.poll_changes(
         prefix_, position_, wait,
-        [this, number = ++last_poll_, alive = alive_](absl::StatusOr<row_changes> result) {
+        [this, number = last_poll_, alive = alive_](absl::StatusOr<row_changes> result) {
             if (*alive && number == last_poll_) {
                 on_response(std::move(result));
             }
@@ -65,6 +77,8 @@
 
 void row_watch::on_response(absl::StatusOr<row_changes> result)
 {
+    late_poll_timer_.cancel();
+    const std::uint64_t number = ++last_poll_; // The response of the other poll is ignored.
     if (!result.ok()) {
         const bool history_lost = reason_of(result.status(), "platform") == "history_lost";
         if (!failing_ && on_health_) {
@@ -87,7 +101,6 @@
     position_ = result->position;
     synced_ = synced_ || result->complete;
     const std::shared_ptr<bool> alive = alive_;
-    const std::uint64_t number = last_poll_;
     if (result->complete || !result->rows.empty()) {
         on_changes_(*result);
     }
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -32,6 +32,7 @@
     row_watch_options configuration_times;
     configuration_times.poll_delay = times.poll_delay;
     configuration_times.long_poll_timeout = times.poll_wait;
+    configuration_times.late_poll_delay = times.late_poll_delay;
     configuration_watch = std::make_unique<row_watch>(driver, loop, dialect.configuration_prefix,
                                                       configuration_times, random);
     configuration_watch->start(
--- a/test/row_watch-test.cpp
+++ b/test/row_watch-test.cpp
@@ -192,4 +192,68 @@
     EXPECT_EQ(received[1].rows[0].key, "nodes/b");
 }
 
+namespace {
+
+/// A platform whose first poll for changes gets no response until the test gives one.
+class silent_platform final : public platform {
+public:
+    void commit(transaction, callback<transaction_result>) override {}
+    void read(std::string, callback<std::optional<std::string>>) override {}
+    void scan(std::string, std::size_t, callback<std::vector<row>>) override {}
+    void put_object(std::string, std::string, callback<bool>) override {}
+    void get_object(std::string, callback<std::string>) override {}
+    void avoid_open_connections() override { ++avoided; }
+
+    void poll_changes(std::string, feed_position after, milliseconds wait,
+                      callback<row_changes> done) override
+    {
+        ++polls;
+        if (after.revision == 0) {
+            done(row_changes{{}, {1, 0}, true});
+            return;
+        }
+        if (wait.count() > 0 && !silent_poll) {
+            silent_poll = std::move(done);
+            return;
+        }
+        done(row_changes{{{"nodes/a", "1"}}, {2, 0}, false});
+    }
+
+    callback<row_changes> silent_poll;
+    int polls = 0;
+    int avoided = 0;
+};
+
+} // namespace
+
+// Guards against a watch that waits for the timeout of a poll whose connection fell silent.
+TEST(row_watch, late_poll_is_repeated_on_a_new_connection_and_the_first_response_counts)
+{
+    manual_timer_service timers;
+    silent_platform driver;
+    std::mt19937_64 engine{7};
+    row_watch_options options;
+    options.long_poll_timeout = milliseconds(1000);
+    options.late_poll_delay = milliseconds(400);
+    options.poll_delay = milliseconds(5000);
+    std::vector<row_changes> received;
+    row_watch watch(driver, timers, "nodes/", options, [&engine] { return engine(); });
+    watch.start([&received](const row_changes& changes) { received.push_back(changes); },
+                [](const absl::Status&) {});
+    ASSERT_EQ(received.size(), 1U);
+    timers.advance(milliseconds(5001));
+    ASSERT_TRUE(driver.silent_poll);
+    timers.advance(milliseconds(1390));
+    EXPECT_EQ(received.size(), 1U);
+    timers.advance(milliseconds(20));
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_EQ(driver.avoided, 1);
+    EXPECT_FALSE(watch.failing());
+    driver.silent_poll(row_changes{{{"nodes/b", "1"}}, {2, 0}, false});
+    driver.silent_poll(absl::UnavailableError("timed out"));
+    EXPECT_EQ(received.size(), 2U);
+    EXPECT_FALSE(watch.failing());
+    EXPECT_EQ(driver.polls, 3);
+}
+
 } // namespace agatespread
