sidecar: no 404 while the node knows that it is behind

Callers saw: 404, which they don't repeat, for a route of an acknowledged version. Cause: a node that had heard of a newer version and was waiting for it still told callers that a route does not exist, although only the version that it lacked could tell. A node that knows of no newer version says 404 at once. It can't help with a removed route, which only the newer version knows.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -91,6 +91,11 @@
             self->cancel();
         }
     });
+    proceed();
+}
+
+void caller_request::proceed()
+{
     if (!resolve() || !check_crash_guard()) {
         return;
     }
@@ -115,6 +120,9 @@
     }
     version_ = table->version();
     rule_ = table->find(request.headers.get("Host"), request.target);
+    if (!rule_ && wait_for_version()) {
+        return false;
+    }
     if (!rule_) {
         owner_->counters.unrouted.add();
         owner_->log.request("request_unrouted", context_.request_id,
@@ -144,6 +152,41 @@
     return true;
 }
 
+bool caller_request::wait_for_version()
+{
+    if (!owner_->versions.behind() || owner_->stopping) {
+        return false;
+    }
+    owner_->unrouted_requests.push_back(weak_from_this());
+    if (waiting_for_version_) {
+        return true;
+    }
+    waiting_for_version_ = true;
+    timer_ =
+        owner_->loop.after(owner_->times.unrouted_wait, [self = shared_from_this()](time_point) {
+            // Ending the request destroys this function object.
+            const std::shared_ptr<caller_request> request = self;
+            request->refuse_unrouted();
+        });
+    return true;
+}
+
+void caller_request::refuse_unrouted()
+{
+    // Whether the route exists is not known, so 404 could be wrong.
+    refuse("configuration_behind", unavailable_retry_after);
+}
+
+void caller_request::resume()
+{
+    if (done_) {
+        return;
+    }
+    const std::shared_ptr<caller_request> self =
+        shared_from_this(); // The timer may hold the last one.
+    proceed();
+}
+
 bool caller_request::check_crash_guard()
 {
     if (owner_->guard.size() == 0) {
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -19,6 +19,9 @@
     /// Finds the rule of the request and sends it to an upstream, or refuses it.
     void start();
 
+    /// Looks for the rule again after a version came into force, unless the request has ended.
+    void resume();
+
     /// Ends the request because the shutdown timeout of the node has passed.
     void stop();
 
@@ -30,7 +33,12 @@
         placement_candidate load;
     };
 
+    /// Starts to handle the request with the version in force.
+    void proceed();
     bool resolve();
+    /// Waits for a newer version that the node knows of; returns false if it knows of none.
+    bool wait_for_version();
+    void refuse_unrouted();
     bool check_crash_guard();
     std::vector<destination> destinations() const;
     void attempt();
@@ -71,6 +79,7 @@
         failure_; ///< Error response of an upstream, kept during the retry.
     bool may_have_run_ = false;
     bool suspect_ = false;
+    bool waiting_for_version_ = false;
     bool done_ = false;
     std::uint32_t attempt_ = 0;
     time_point attempt_started_;
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -88,6 +88,7 @@
     void watch_platform();
     void apply_configuration_rows(const row_changes& changes);
     bool apply_configuration(const std::string& document, std::string_view source);
+    void resume_unrouted_requests();
     void apply_entries(const row_changes& changes);
     void read_entries();
     row_watch::health_hook health_logger(const char* dependency);
@@ -225,5 +226,7 @@
     bool shutdown_timed_out = false; ///< `shutdown_timeout` has passed.
     time_point shutdown_started;
 };
+    /// Requests without a route in the version in force, while the node knows of a newer one.
+    std::vector<std::weak_ptr<detail::caller_request>> unrouted_requests;
 
 } // namespace agatespread
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -1,3 +1,4 @@
+#include "caller_request.h"
 #include "deflate.h"
 #include "sidecar_impl.h"
 
@@ -124,9 +125,21 @@
     failed_fetches = 0;
     const bool is_reader = reading_configuration && known_peers.is_reader(readers_per_domain, now);
     send_report(known_peers.version_recipients(is_reader, random, now));
+    resume_unrouted_requests();
     return true;
 }
 
+void sidecar::impl::resume_unrouted_requests()
+{
+    const std::vector<std::weak_ptr<detail::caller_request>> waiting =
+        std::exchange(unrouted_requests, {});
+    for (const std::weak_ptr<detail::caller_request>& each : waiting) {
+        if (const std::shared_ptr<detail::caller_request> request = each.lock()) {
+            request->resume();
+        }
+    }
+}
+
 peer_entry sidecar::impl::own_entry() const
 {
     return {settings.node, settings.failure_domain, settings.service, call_listener->address(),
--- a/test/platform_feed-test.cpp
+++ b/test/platform_feed-test.cpp
@@ -1,5 +1,6 @@
 #include "datagram_socket.h"
 #include "deflate.h"
+#include "peer_stand_ins.h"
 #include "platform_table_server.h"
 #include "sidecar_fixture.h"
 #include "silent_proxy.h"
@@ -303,52 +304,26 @@
     ASSERT_TRUE(in_force(1));
     int version = 1;
     std::vector<std::shared_ptr<http_exchange>> unanswered;
-    std::vector<std::unique_ptr<http_server>> servers;
-    std::unique_ptr<datagram_socket> reports;
-    std::vector<peer_report> peers(3);
-    subscription reporting;
-    thread.call([&] {
-        for (peer_report& report : peers) {
-            const bool answers = servers.size() == 2;
-            servers.push_back(
-                http_server::listen(thread.loop(), "127.0.0.1:0", {},
-                                    [&, answers](const std::shared_ptr<http_exchange>& exchange) {
-                                        if (!answers) {
-                                            unanswered.push_back(exchange);
-                                            return;
-                                        }
-                                        http_response response;
-                                        response.body = detail::deflate_bytes(
-                                            std::to_string(version) + " 1000 idempotent rounds");
-                                        exchange->respond(std::move(response));
-                                    })
-                    .value());
-            report.entry = {std::string(1, static_cast<char>('a' + servers.size())), "cairo",
-                            "rounds", servers.back()->address(), "127.0.0.1:9"};
-            report.incarnation = 1;
-        }
-        reports =
-            datagram_socket::open(thread.loop(), "127.0.0.1:0", [](std::string_view) {}).value();
-        reporting = thread.loop().every(milliseconds(50), [&](time_point) {
-            for (peer_report& report : peers) {
-                report.in_force = static_cast<config_version>(version);
-                ++report.sequence;
-                reports->send(report_address, encode_report(report));
+    test::peer_stand_ins peers(
+        thread, report_address, 3,
+        [&](std::size_t peer, const std::shared_ptr<http_exchange>& exchange) {
+            if (peer < 2) {
+                unanswered.push_back(exchange);
+                return;
             }
+            http_response response;
+            response.body =
+                detail::deflate_bytes(std::to_string(version) + " 1000 idempotent rounds");
+            exchange->respond(std::move(response));
         });
-    });
     for (int next = 2; next <= last_version; ++next) {
-        const time_point reported_at = steady_clock::now();
         thread.call([&] { version = next; });
+        const time_point reported_at = steady_clock::now();
+        peers.report(static_cast<config_version>(next));
         ASSERT_TRUE(in_force(next));
         EXPECT_LT(elapsed_since(reported_at).count(), fetch_share.count()) << "ms, " << next;
     }
-    thread.call([&] {
-        reporting.cancel();
-        reports.reset();
-        unanswered.clear();
-        servers.clear();
-    });
+    thread.call([&unanswered] { unanswered.clear(); });
 }
 
 // Guards against fetches whose connections stay open and fill the peer's listener.
--- a/test/sidecar_fixture.h
+++ b/test/sidecar_fixture.h
@@ -132,8 +132,10 @@
             settings.log.request_lines_per_second = ::getenv("SIDECAR_LOG") != nullptr ? 100 : 0;
             settings.log.descriptor = ::getenv("SIDECAR_LOG") != nullptr ? 1 : -1;
             adjust_settings(settings);
+            sidecar_dialect dialect = test_dialect();
+            adjust_dialect(dialect);
             target.node =
-                sidecar::start(thread.loop(), store, data, settings, test_dialect(), [this] {
+                sidecar::start(thread.loop(), store, data, settings, std::move(dialect), [this] {
                     return engine();
                 }).value();
         });
@@ -214,6 +216,9 @@
     /// Changes the settings of the nodes that are started afterwards.
     std::function<void(sidecar_settings&)> adjust_settings = [](sidecar_settings&) {};
 
+    /// Changes the dialect of the nodes that are started afterwards.
+    std::function<void(sidecar_dialect&)> adjust_dialect = [](sidecar_dialect&) {};
+
     loop_thread thread;
     memory_platform store{thread.loop()};
     metrics data;
