--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -1,9 +1,12 @@
+#include "address.h"
+
 #include <agatespread/peers.h>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace agatespread {
@@ -13,12 +16,24 @@
 using json = nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr std::uint64_t max_permille = 1000;
+
+// Blocks of the crash guard end much sooner.
+constexpr milliseconds longest_block = std::chrono::hours(24);
+
 absl::Status malformed(std::string_view field)
 {
     return layer_error(absl::StatusCode::kInvalidArgument, "peers", "malformed",
                        "peer message: field " + std::string(field) + " is missing or wrong");
 }
 
+// Keeps sums of reported times far below the largest duration.
+bool is_time(std::uint64_t nanoseconds)
+{
+    constexpr std::chrono::nanoseconds longest = std::chrono::hours(1);
+    return nanoseconds <= static_cast<std::uint64_t>(longest.count());
+}
+
 // Reads the fields of a CBOR message and stores the name of the first one that is missing or
 // invalid.
 class message_fields {
@@ -53,13 +68,34 @@
     void read(const char* name, Number& target)
     {
         const auto found = find(name);
-        if (found == object_.end() || !found->is_number_unsigned()) {
+        if (found == object_.end() || !found->is_number_unsigned() ||
+            found->get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
             fail(name);
             return;
         }
         target = static_cast<Number>(found->get<std::uint64_t>());
     }
 
+    void read(const char* name, std::chrono::nanoseconds& target)
+    {
+        std::uint64_t count = 0;
+        read(name, count);
+        if (!is_time(count)) {
+            fail(name);
+            return;
+        }
+        target = std::chrono::nanoseconds(count);
+    }
+
+    /// Reads the address of a listener.
+    void read_address(const char* name, std::string& target)
+    {
+        read(name, target);
+        if (!detail::parse_address(target)) {
+            fail(name);
+        }
+    }
+
     void read_optional(const char* name, std::uint64_t& target)
     {
         if (find(name) != object_.end()) {
@@ -111,8 +147,8 @@
     fields.read("n", entry.node);
     fields.read("d", entry.failure_domain);
     fields.read("s", entry.service);
-    fields.read("c", entry.call_address);
-    fields.read("r", entry.report_address);
+    fields.read_address("c", entry.call_address);
+    fields.read_address("r", entry.report_address);
 }
 
 /// Reads a flat list of kinds, each followed by its mean service and transmission times in
@@ -127,6 +163,11 @@
         return false;
     }
     for (std::size_t index = 0; index < list.size(); index += values_per_kind) {
+        if (list[index].get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max() ||
+            !is_time(list[index + 1].get<std::uint64_t>()) ||
+            !is_time(list[index + 2].get<std::uint64_t>())) {
+            return false;
+        }
         kinds[index / values_per_kind] = {
             static_cast<std::uint32_t>(list[index].get<std::uint64_t>()),
             std::chrono::nanoseconds(list[index + 1].get<std::uint64_t>()),
@@ -224,10 +265,6 @@
     peer_report report;
     read_entry(fields, report.entry);
     std::uint64_t state = 0;
-    std::uint64_t service_time = 0;
-    std::uint64_t link_delay = 0;
-    std::uint64_t wait = 0;
-    std::uint64_t transmission_time = 0;
     std::uint64_t failure_ratio = 0;
     std::uint64_t reads = 0;
     fields.read("p", report.incarnation);
@@ -236,13 +273,13 @@
     fields.read("u", report.load.running);
     fields.read("w", report.load.queued);
     fields.read("l", report.load.slots);
-    fields.read("m", service_time);
-    fields.read("k", link_delay);
-    fields.read("i", wait);
+    fields.read("m", report.load.service_time);
+    fields.read("k", report.load.link_delay);
+    fields.read("i", report.load.wait);
     if (!read_kinds(fields.list("h"), report.load.kinds)) {
         return malformed("h");
     }
-    fields.read("a", transmission_time);
+    fields.read("a", report.load.transmission_time);
     fields.read("e", failure_ratio);
     fields.read("v", report.in_force);
     fields.read("f", reads);
@@ -266,20 +303,22 @@
             return malformed("x." + crash.first_invalid());
         }
         next.cleared = cleared != 0;
+        if (blocked_for > static_cast<std::uint64_t>(longest_block.count())) {
+            return malformed("x.m");
+        }
         next.blocked_for = milliseconds(blocked_for);
         report.crashes.push_back(next);
     }
     if (state > static_cast<std::uint64_t>(upstream_state::draining)) {
         return malformed("t");
     }
+    if (failure_ratio > max_permille) {
+        return malformed("e");
+    }
     if (!fields.first_invalid().empty()) {
         return malformed(fields.first_invalid());
     }
     report.state = static_cast<upstream_state>(state);
-    report.load.service_time = std::chrono::nanoseconds(service_time);
-    report.load.link_delay = std::chrono::nanoseconds(link_delay);
-    report.load.wait = std::chrono::nanoseconds(wait);
-    report.load.transmission_time = std::chrono::nanoseconds(transmission_time);
     report.load.failure_ratio = from_permille(failure_ratio);
     report.can_read_platform = reads != 0;
     return report;
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -1,9 +1,11 @@
 #include <agatespread/peers.h>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
@@ -100,6 +102,56 @@
     EXPECT_FALSE(decode_entry(std::string(40, '\0')).ok());
 }
 
+// Guards against an entry or a report of another writer that ends the process by its nesting.
+TEST(peers, deeply_nested_messages_are_rejected)
+{
+    constexpr std::size_t depth = 60000; // A row may have 65,536 bytes.
+    const std::string arrays(depth, '\x81');
+    const std::string endless_arrays(depth, '\x9f');
+    std::string maps;
+    for (std::size_t level = 0; level < depth / 3; ++level) {
+        maps += "\xa1\x61n"; // A map with the key "n".
+    }
+    for (const std::string& nested : {arrays, endless_arrays, maps}) {
+        EXPECT_FALSE(decode_entry(nested).ok());
+        EXPECT_FALSE(decode_report(nested).ok());
+        EXPECT_FALSE(decode_entry("\xa1\x61n" + nested).ok());
+        EXPECT_FALSE(decode_report("\xa1\x61x" + nested).ok());
+    }
+}
+
+// Guards against numbers that are cut to another value when they are read.
+TEST(peers, numbers_out_of_range_are_rejected)
+{
+    const auto with = [](const char* field, std::uint64_t number) {
+        nlohmann::json value = nlohmann::json::from_cbor(encode_report(report_of("a", 7)));
+        value[field] = number;
+        std::string bytes;
+        nlohmann::json::to_cbor(value, bytes);
+        return bytes;
+    };
+    constexpr std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
+    for (const char* const field : {"u", "w", "l", "m", "k", "i", "a", "t", "e"}) {
+        EXPECT_FALSE(decode_report(with(field, largest)).ok()) << field;
+    }
+    EXPECT_FALSE(decode_report(with("l", std::uint64_t(1) << 32U)).ok());
+    EXPECT_TRUE(decode_report(with("l", 1)).ok());
+}
+
+// Guards against an entry with an address that no connection can be opened to.
+TEST(peers, entries_with_malformed_addresses_are_rejected)
+{
+    for (const char* const address :
+         {"10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1", "", "10.0.0.1:18446744073709551617"}) {
+        peer_entry entry = report_of("a", 1).entry;
+        entry.call_address = address;
+        EXPECT_FALSE(decode_entry(encode_entry(entry)).ok()) << address;
+        entry = report_of("a", 1).entry;
+        entry.report_address = address;
+        EXPECT_FALSE(decode_entry(encode_entry(entry)).ok()) << address;
+    }
+}
+
 // Guards against requests to nodes that have a table entry but may no longer exist.
 TEST(peers, peer_is_eligible_after_its_first_report)
 {
--- a/test/platform_control-test.cpp
+++ b/test/platform_control-test.cpp
@@ -57,4 +57,23 @@
     EXPECT_TRUE(absl::IsNotFound(parse_upstream_message("/v1/other", body("ready")).status()));
 }
 
+// Guards against a message that ends the process, or that is read with other values than it has.
+TEST(platform_control, odd_messages_of_other_writers_are_rejected)
+{
+    constexpr std::size_t depth = 100000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_FALSE(parse_upstream_message(path, nested).ok());
+    EXPECT_FALSE(parse_upstream_message(path, std::string(depth, '[')).ok());
+    EXPECT_FALSE(parse_upstream_message(path, body("ready", nested)).ok());
+    EXPECT_FALSE(parse_upstream_message(path, body("ready", "9", ",\"born\":" + nested)).ok());
+    for (const char* const slots : {"4294967296", "4294967297", "18446744073709551616", "1e400"}) {
+        EXPECT_FALSE(parse_upstream_message(path, body("ready", slots)).ok()) << slots;
+    }
+    for (const char* const born : {"18446744073709551615", "-5", "1e300", "99999999999999999999"}) {
+        EXPECT_FALSE(
+            parse_upstream_message(path, body("ready", "9", std::string(",\"born\":") + born)).ok())
+            << born;
+    }
+}
+
 } // namespace agatespread::adapter
