gate: a refusal counts only for the request that it names

Callers would see: 503, "not run", for a request that an upstream has run, and with other upstreams the request would run a second time. Reported by operators of similar systems: an upstream wrote an earlier refusal once more on a kept connection. Cause: a response without a request id was accepted, so that a refusal without one was taken for the response to the request under way. One with the id of the earlier request was already rejected. Change: a refusal counts if it carries the id of the request; otherwise the request may have run. sidecar_test.request_refused_by_the_upstream_is_sent_to_another_one left out the id, which upstreams echo in their responses; its upstream names it now, and the test expects the same as before.

--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -216,9 +216,13 @@
     const upstream_response_metadata metadata =
         owner_->dialect.read_upstream_response(result.response);
     const bool succeeded = result.response.status >= 200 && result.response.status < 300;
-    const bool refused = metadata.not_run || metadata.other_instance;
-    const bool invalid = !refused && ((succeeded && !metadata.authentic) || metadata.encoded ||
-                                      (succeeded && metadata.request_id != request_id_));
+    // A refusal that belongs to another request says nothing about this one, which may run.
+    const bool refused =
+        (metadata.not_run || metadata.other_instance) && metadata.request_id == request_id_;
+    const bool unattributed = !refused && (metadata.not_run || metadata.other_instance);
+    const bool malformed = (succeeded && !metadata.authentic) || metadata.encoded ||
+                           (succeeded && metadata.request_id != request_id_);
+    const bool invalid = unattributed || (!refused && malformed);
     owner_->failures.add(refused || invalid || result.response.status >= 500, now);
     owner_->upstream_responded_at = now;
     owner_->apply_announcements(metadata, instance_);
@@ -230,11 +234,11 @@
         leave_guard(success ? call_end::succeeded : call_end::responded);
     }
     owner_->apply(owner_->gate.finish(id_, succeeded && !invalid, now));
-    if (metadata.other_instance) {
+    if (refused && metadata.other_instance) {
         owner_->mark_upstream_unreachable("other_instance");
         respond(call_outcome::unavailable, {}, "other_instance", unavailable_retry_after);
     }
-    else if (metadata.not_run) {
+    else if (refused) {
         respond(call_outcome::rejected, {}, "upstream_refused", unavailable_retry_after);
     }
     else if (invalid) {
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -505,6 +505,25 @@
 
 } // namespace
 
+// Guards against a response that broke off in its head or its body and counts as a whole one.
+TEST_F(http, response_that_breaks_off_at_any_byte_is_not_answered)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\nbody";
+    std::atomic<std::size_t> cut{0};
+    raw_upstream upstream([&whole, &cut](asio::ip::tcp::socket& socket, int) {
+        raw_upstream::read_request(socket);
+        raw_upstream::write(socket, whole.substr(0, cut));
+    });
+    for (cut = 0; cut <= whole.size(); ++cut) {
+        http_call call;
+        call.url = "http://" + upstream.address() + "/";
+        call.new_connection = true;
+        call.allow_close_delimited_body = true;
+        const bool answered = send(std::move(call)).outcome == http_outcome::answered;
+        EXPECT_EQ(answered, cut == whole.size()) << whole.substr(0, cut);
+    }
+}
+
 // Guards against a connection that gets no events, because its socket has the number of one that
 // was closed while its connection attempt was pending.
 TEST_F(http, connections_work_after_connection_attempts_that_were_given_up)
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -163,8 +163,7 @@
     ASSERT_TRUE(eventually_ready(first));
     ASSERT_TRUE(thread.eventually([this] { return second.node->ready(); }));
     first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
-        http_response response;
-        response.status = 503;
+        http_response response = make_response(exchange->request(), 503);
         response.headers.add("Not-Run", "1");
         exchange->respond(std::move(response));
     };
