sidecar: a limit or a leaving that another node has passed on outlasts a restart of the gate

Upstreams would see: more requests than they accept, or requests after they said that they leave, from hosts that had passed on the response that says so. Cause: only the node beside the upstream knew of the limit and the leaving. After its restart, until the next response or while the platform is away, it sent on what the other hosts sent. Change: a response that names a limit or a leaving is passed on with the incarnation that said so; the caller's node keeps it for the peer and sends it with its requests; a gate that has not heard its upstream itself applies it before it admits the request. Cost: one header of about 40 bytes while an upstream names one of the two.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -5,6 +5,7 @@
 #include <agatespread/failure_rate.h>
 #include <agatespread/link_backlog.h>
 #include <agatespread/placement.h>
+#include <agatespread/upstream_lifecycle.h>
 #include <agatespread/wire.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -13,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -121,6 +123,14 @@
     void record_response(const node_id& node, const reported_load& load,
                          std::chrono::nanoseconds transit, time_point now);
 
+    /// Records what a peer's upstream said in a response; nothing if it named neither a limit nor
+    /// its leaving. A leaving is kept until another incarnation says something.
+    void record_announcement(const node_id& node,
+                             const std::optional<upstream_announcement>& announced);
+
+    /// Returns what a peer's upstream said last.
+    std::optional<upstream_announcement> announcement_of(const node_id& node) const;
+
     /// Records that a peer's upstream refused a request; it is not eligible until its next report.
     void record_refusal(const node_id& node, time_point now);
 
@@ -178,6 +188,7 @@
         time_point last_received_at; ///< Last report or response; the epoch for none.
         time_point last_updated_at;  ///< Last report or table entry.
         bool suspended = false;      ///< Not eligible until the next report.
+        std::optional<upstream_announcement> announced;
     };
 
     bool is_alive(const peer& subject, time_point now) const;
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -31,6 +31,14 @@
     }
 };
 
+/// What an incarnation says of itself in its responses.
+struct upstream_announcement {
+    std::string instance;
+    std::chrono::milliseconds started_at{0}; ///< 0 if not known.
+    bool leaving = false;
+    std::optional<double> rate_limit; ///< Requests per second that it accepts from all hosts.
+};
+
 /// Whether a message opened or closed the upstream for new requests.
 enum class lifecycle_change : std::uint8_t { none, opened, closed };
 
@@ -52,7 +60,8 @@
     /// Applies a response in which the current incarnation says that it is leaving.
     lifecycle_change mark_leaving();
 
-    /// Applies the departure that an earlier process of this node had recorded.
+    /// Applies a departure that was recorded by an earlier process of this node or is known to
+    /// another node.
     lifecycle_change restore(const upstream_departure& departure);
 
     /// Returns the current incarnation if it is draining or deregistered.
@@ -66,6 +75,7 @@
     lifecycle_change health_check_passed(const std::string& instance, std::uint32_t slots);
 
     const std::string& instance() const { return instance_; }
+    std::chrono::milliseconds started_at() const { return started_at_; }
     std::uint32_t slots() const { return slots_; }
     upstream_state state() const { return state_; }
     bool heartbeat_received() const { return heartbeat_received_; }
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -290,7 +290,7 @@
         send_local(std::move(metadata));
         return;
     }
-    send_to_peer(to, metadata);
+    send_to_peer(to, std::move(metadata));
 }
 
 void caller_request::send_local(forwarded_request_metadata metadata)
@@ -313,11 +313,12 @@
     local->start();
 }
 
-void caller_request::send_to_peer(const destination& to, const forwarded_request_metadata& metadata)
+void caller_request::send_to_peer(const destination& to, forwarded_request_metadata metadata)
 {
     http_call call;
     call.request = exchange_->request();
     strip_headers(call.request.headers);
+    metadata.announced = owner_->known_peers.announcement_of(to.node);
     write_forwarded_request(metadata, call.request.headers);
     call.url = "http://" + to.address + call.request.target;
     call.timeout = std::max(metadata.time_left, milliseconds(1)) + transfer_margin;
@@ -346,6 +347,10 @@
         if (metadata) {
             owner_->known_peers.record_response(node, metadata->load,
                                                 now - attempt_started_ - metadata->held, now);
+            if (metadata->outcome == call_outcome::answered ||
+                metadata->outcome == call_outcome::rejected) {
+                owner_->known_peers.record_announcement(node, metadata->announced);
+            }
             on_attempt_ended(node, *metadata, std::move(result.response));
             return;
         }
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -44,7 +44,7 @@
     void attempt();
     void send(const destination& to);
     void send_local(forwarded_request_metadata metadata);
-    void send_to_peer(const destination& to, const forwarded_request_metadata& metadata);
+    void send_to_peer(const destination& to, forwarded_request_metadata metadata);
     void on_peer_result(const node_id& node, http_result result);
     void on_attempt_ended(const node_id& node, const forwarded_response_metadata& metadata,
                           http_response response);
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -45,6 +45,9 @@
         respond(call_outcome::unavailable, {}, "other_service", unavailable_retry_after);
         return;
     }
+    if (metadata_.announced) {
+        owner_->apply_peer_announcement(*metadata_.announced);
+    }
     identity_ = identity_of(request_);
     const guard_decision entry = owner_->guard.enter(id_, identity_, metadata_.suspect, arrived_);
     if (entry.verdict == guard_verdict::pass) {
@@ -225,7 +228,10 @@
     const bool invalid = unattributed || (!refused && malformed);
     owner_->failures.add(refused || invalid || result.response.status >= 500, now);
     owner_->upstream_responded_at = now;
-    owner_->apply_announcements(metadata, instance_);
+    if (!unattributed) {
+        owner_->apply_announcements(metadata, instance_);
+        keep_announcement(metadata);
+    }
     if (refused) {
         leave_guard(call_end::not_run);
     }
@@ -250,6 +256,16 @@
     }
 }
 
+void gate_request::keep_announcement(const upstream_response_metadata& response)
+{
+    if (!response.other_instance && (response.leaving || response.rate_limit)) {
+        const bool current = instance_ == owner_->upstream.instance();
+        announced_ = upstream_announcement{
+            instance_, current ? owner_->upstream.started_at() : std::chrono::milliseconds(0),
+            response.leaving, response.rate_limit};
+    }
+}
+
 void gate_request::check_silence()
 {
     if (stage_ != stage::running || owner_->upstream_responded_at >= forwarded_ ||
@@ -378,6 +394,7 @@
     metadata.retry_after = retry_after;
     metadata.held = duration_cast<milliseconds>(now - arrived_);
     metadata.reason = std::move(reason);
+    metadata.announced = std::move(announced_);
     const response_handler handler = std::exchange(handler_, nullptr);
     owner_->gate_requests.erase(id_);
     handler(metadata, std::move(response));
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -56,6 +56,8 @@
     bool accepts_head(const http_response& head) const;
     void on_upstream_result(http_result result);
     void on_upstream_response(http_result result);
+    /// Keeps what the response says of the upstream, for the caller's node.
+    void keep_announcement(const upstream_response_metadata& response);
     void on_upstream_lost(const http_result& result);
     void check_silence();
     void finish_lost_request(bool crashed, std::string_view cause, const std::string& error);
@@ -78,6 +80,7 @@
     time_point forwarded_;
     time_point deadline_;
     std::string instance_;
+    std::optional<upstream_announcement> announced_;
     stage stage_ = stage::held;
     http_client::call_id upstream_call_ = 0;
     subscription silence_timer_;
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -404,6 +404,35 @@
     known.transit_measured_at = now;
 }
 
+void peers::record_announcement(const node_id& node,
+                                const std::optional<upstream_announcement>& announced)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end()) {
+        return;
+    }
+    std::optional<upstream_announcement>& known = found->second.announced;
+    const bool leaving = known && known->leaving;
+    if (announced) {
+        const bool same_incarnation = known && known->instance == announced->instance &&
+                                      known->started_at == announced->started_at;
+        known = announced;
+        known->leaving = announced->leaving || (leaving && same_incarnation);
+    }
+    else if (leaving) {
+        known->rate_limit.reset();
+    }
+    else {
+        known.reset();
+    }
+}
+
+std::optional<upstream_announcement> peers::announcement_of(const node_id& node) const
+{
+    const auto found = peers_.find(node);
+    return found == peers_.end() ? std::nullopt : found->second.announced;
+}
+
 void peers::record_refusal(const node_id& node, time_point now)
 {
     record_failure(node, now);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -392,6 +392,7 @@
     if (upstream.replacements() != replacements_before) {
         apply(guard.upstream_replaced(upstream.exit_announced(), loop.now()), "replaced");
         limit_upstream_rate(std::nullopt);
+        rate_limit_heard = false;
     }
 }
 
@@ -423,10 +424,22 @@
     }
     // The limit ends with the first response without one, if the upstream itself has written it.
     if (response.rate_limit || response.authentic) {
+        rate_limit_heard = true;
         limit_upstream_rate(response.rate_limit);
     }
 }
 
+void sidecar::impl::apply_peer_announcement(const upstream_announcement& announced)
+{
+    if (announced.leaving) {
+        apply(upstream.restore({announced.instance, announced.started_at}), "peer");
+        record_departure();
+    }
+    if (announced.rate_limit && !rate_limit_heard && announced.instance == upstream.instance()) {
+        limit_upstream_rate(announced.rate_limit);
+    }
+}
+
 void sidecar::impl::limit_upstream_rate(std::optional<double> per_second)
 {
     if (!per_second && !logged_rate_limit) {
--- a/src/sidecar_call.cpp
+++ b/src/sidecar_call.cpp
@@ -5,6 +5,7 @@
 #include <agatespread/crash_guard.h>
 #include <agatespread/routing.h>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 
 constexpr std::string_view request_header = "X-Agatespread-Forwarded";
 constexpr std::string_view response_header = "X-Agatespread-Answer";
+constexpr std::string_view announcement_header = "X-Agatespread-Announced";
 constexpr std::string_view no_value = "-";
 constexpr char separator = ';';
 
@@ -47,6 +49,37 @@
     bool valid_ = true;
 };
 
+void write_announcement(const std::optional<upstream_announcement>& announced,
+                        http_headers& headers)
+{
+    if (announced) {
+        const std::string rate_limit =
+            announced->rate_limit ? absl::StrCat(*announced->rate_limit) : std::string(no_value);
+        headers.set(announcement_header,
+                    absl::StrCat(announced->instance, ";", announced->started_at.count(), ";",
+                                 announced->leaving ? 1 : 0, ";", rate_limit));
+    }
+}
+
+std::optional<upstream_announcement> read_announcement(const http_headers& headers)
+{
+    const std::string_view value = headers.get(announcement_header);
+    if (value.empty()) {
+        return std::nullopt;
+    }
+    field_reader fields(value);
+    upstream_announcement announced;
+    announced.instance = fields.text();
+    announced.started_at = milliseconds(fields.number<std::int64_t>());
+    announced.leaving = fields.number<int>() != 0;
+    const std::string rate_limit = fields.text();
+    double per_second = 0;
+    if (absl::SimpleAtod(rate_limit, &per_second)) {
+        announced.rate_limit = per_second;
+    }
+    return fields.valid() ? std::make_optional(std::move(announced)) : std::nullopt;
+}
+
 } // namespace
 
 std::string_view name_of(call_outcome outcome)
@@ -70,6 +103,7 @@
                              ";", static_cast<int>(metadata.priority), ";",
                              metadata.suspect ? 1 : 0, ";", metadata.time_left.count(), ";",
                              time_to_objective));
+    write_announcement(metadata.announced, headers);
 }
 
 std::optional<forwarded_request_metadata> read_forwarded_request(const http_headers& headers)
@@ -94,6 +128,7 @@
         }
         metadata.time_to_objective = milliseconds(*time);
     }
+    metadata.announced = read_announcement(headers);
     if (!fields.valid()) {
         return std::nullopt;
     }
@@ -110,6 +145,7 @@
             ";", metadata.load.wait.count(), ";", metadata.load.link_delay.count(), ";",
             metadata.load.transmission_time.count(), ";", to_permille(metadata.load.failure_ratio),
             ";", metadata.retry_after.count(), ";", metadata.held.count(), ";", metadata.reason));
+    write_announcement(metadata.announced, headers);
 }
 
 std::optional<forwarded_response_metadata> read_forwarded_response(const http_headers& headers)
@@ -140,6 +176,7 @@
         return std::nullopt;
     }
     metadata.outcome = static_cast<call_outcome>(index);
+    metadata.announced = read_announcement(headers);
     return metadata;
 }
 
--- a/src/sidecar_call.h
+++ b/src/sidecar_call.h
@@ -4,6 +4,7 @@
 #include <agatespread/http.h>
 #include <agatespread/placement.h>
 #include <agatespread/proxy.h>
+#include <agatespread/upstream_lifecycle.h>
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +24,8 @@
     std::chrono::milliseconds time_left{0}; ///< Until the caller's deadline.
     std::optional<std::chrono::milliseconds>
         time_to_objective; ///< Until the rule's latency objective is missed; negative after that.
+    /// What the upstream said in its last response to the caller's node.
+    std::optional<upstream_announcement> announced;
 };
 
 /// Metadata of the response that an upstream's node returns.
@@ -32,6 +35,8 @@
     std::chrono::milliseconds retry_after{0};
     std::chrono::milliseconds held{0}; ///< From the arrival at the gate to the response.
     std::string reason;                ///< Reason of a refusal or failure, else empty.
+    /// Set if the upstream's response named a limit or its leaving.
+    std::optional<upstream_announcement> announced;
 };
 
 /// Writes the metadata into the headers of a request.
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -137,6 +137,9 @@
     upstream_state gate_state() const;
     void apply_announcements(const upstream_response_metadata& response,
                              const std::string& instance);
+    /// Applies what the upstream said in a response to another node, in case this process of the
+    /// node started later and has not heard it.
+    void apply_peer_announcement(const upstream_announcement& announced);
     void limit_upstream_rate(std::optional<double> per_second);
     void apply(const admission_actions& actions);
     void apply(const guard_actions& actions, std::string_view cause);
@@ -184,6 +187,7 @@
     link_backlog link;
     upstream_lifecycle upstream;
     std::optional<double> logged_rate_limit;
+    bool rate_limit_heard = false;    ///< This incarnation told its limit, or that it has none.
     failure_rate failures;            ///< Failure rate of the upstream on this host.
     time_point upstream_responded_at; ///< The last response of the upstream on this host.
     bool probing_upstream = false;
@@ -222,11 +226,11 @@
     std::size_t unanswered_in_slots = 0; ///< Ended requests that still hold a slot of the gate.
     bool gate_check_scheduled = false;
     absl::flat_hash_set<detail::caller_request*> caller_requests; ///< Requests without a response.
+    /// Requests without a route in the version in force, while the node knows of a newer one.
+    std::vector<std::weak_ptr<detail::caller_request>> unrouted_requests;
     bool stopping = false;
     bool shutdown_timed_out = false; ///< `shutdown_timeout` has passed.
     time_point shutdown_started;
 };
-    /// Requests without a route in the version in force, while the node knows of a newer one.
-    std::vector<std::weak_ptr<detail::caller_request>> unrouted_requests;
 
 } // namespace agatespread
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -95,8 +95,12 @@
 lifecycle_change upstream_lifecycle::restore(const upstream_departure& departure)
 {
     if (!heartbeat_received_) {
-        departed_ = departure;
-        return lifecycle_change::none;
+        if (!departed_ || departed_->started_at <= departure.started_at) {
+            departed_ = departure;
+        }
+        const bool opened = state_ == upstream_state::ready && instance_ == departure.instance;
+        left_service_ = left_service_ || opened;
+        return opened ? transition_to(upstream_state::draining) : lifecycle_change::none;
     }
     if (left_service_ || !concerns(departure, instance_, started_at_)) {
         return lifecycle_change::none;
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -105,4 +105,125 @@
     }
 }
 
+// Guards against a leaving that is heard only from responses that ran.
+TEST_F(sidecar_upstream, leaving_that_a_refusal_announces_closes_the_gate)
+{
+    start(first, "a", "rounds");
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = make_response(exchange->request(), 503);
+        response.headers.add("Not-Run", "1");
+        response.headers.add("Leaving", "1");
+        exchange->respond(std::move(response));
+    };
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(first);
+    EXPECT_EQ(send(first, "1").response.status, 503);
+    const int before = first.request_count;
+    EXPECT_EQ(send(first, "2").response.status, 503);
+    EXPECT_EQ(first.request_count, before);
+}
+
+// Guards against requests from a host that has passed on the leaving, after the node beside the
+// upstream restarted without the platform and a late heartbeat arrived there.
+TEST_F(sidecar_upstream, leaving_that_another_node_has_passed_on_outlasts_a_restart_of_the_gate)
+{
+    const std::string report_address = "127.0.0.1:" + std::to_string(free_port());
+    adjust_settings = [&report_address](sidecar_settings& settings) {
+        if (settings.node == "b") {
+            settings.report_address = report_address; // At which the other node finds it again.
+        }
+    };
+    start(first, "a", "orders");
+    start(second, "b", "rounds");
+    std::atomic<bool> leaving{true};
+    second.serve = [&leaving](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = make_response(exchange->request());
+        if (leaving) {
+            response.headers.add("Leaving", "1");
+        }
+        exchange->respond(std::move(response));
+    };
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(second);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    thread.call([this] {
+        platform_faults faults;
+        faults.down = true;
+        store.set_faults(faults);
+        second.node.reset();
+    });
+    const std::unique_ptr<http_server> upstream = std::move(second.upstream);
+    const int before = second.request_count;
+    leaving = false; // Of the process that starts later.
+    start(second, "b", "rounds", upstream->address());
+    second.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond(make_response(exchange->request()));
+    };
+    ASSERT_TRUE(eventually_ready(second)); // By a fetch of the version from the first node.
+    send_heartbeat(second, "i-1", false, 2);
+    const time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+    for (int id = 0; std::chrono::steady_clock::now() < end; ++id) {
+        EXPECT_EQ(send(first, std::to_string(id)).response.status, 503);
+    }
+    EXPECT_EQ(second.request_count, before);
+    // A process that started later under the same address.
+    send_heartbeat(second, "i-2", false, 1);
+    EXPECT_TRUE(eventually_responds_with(first, 200));
+}
+
+// Guards against more requests than an upstream accepts, from hosts that have passed on its limit,
+// after the node beside the upstream restarted and knows of no limit.
+TEST_F(sidecar_upstream, limit_that_another_node_has_passed_on_outlasts_a_restart_of_the_gate)
+{
+    constexpr int limit = 1; // Requests per second.
+    constexpr milliseconds window = std::chrono::seconds(4);
+    constexpr int slots = 20;
+    start(first, "a", "orders");
+    start(second, "b", "rounds");
+    std::vector<subscription> responses;
+    second.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+        responses.push_back(thread.loop().after(milliseconds(200), [exchange](time_point) {
+            http_response response = make_response(exchange->request());
+            response.headers.add("Limit", std::to_string(limit));
+            exchange->respond(std::move(response));
+        }));
+    };
+    const auto beat = [this](std::uint64_t sequence) {
+        upstream_heartbeat heartbeat;
+        heartbeat.instance = "i-1";
+        heartbeat.sequence = sequence;
+        heartbeat.slots = slots;
+        thread.call([&] { second.node->receive_heartbeat(heartbeat); });
+    };
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    beat(1);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    const std::function<void(std::shared_ptr<http_exchange>)> serve = second.serve;
+    thread.call([this] { second.node.reset(); });
+    const std::unique_ptr<http_server> upstream = std::move(second.upstream);
+    start(second, "b", "rounds", upstream->address());
+    second.serve = serve;
+    ASSERT_TRUE(eventually_ready(second));
+    const int before = second.request_count;
+    beat(2);
+    const time_point end = std::chrono::steady_clock::now() + window;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < slots; ++caller) {
+        callers.emplace_back([this, caller, end] {
+            while (std::chrono::steady_clock::now() < end) {
+                send(first, std::to_string(caller));
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+        });
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_LE(second.request_count - before, window / std::chrono::seconds(1) * limit * 3 / 2 + 5);
+    thread.call([&responses] { responses.clear(); });
+}
+
 } // namespace agatespread::test
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -211,4 +211,26 @@
     EXPECT_EQ(upstream.state(), upstream_state::ready);
 }
 
+// Guards against a gate that a health check opened for an upstream whose leaving another node
+// knows.
+TEST(upstream_lifecycle,
+     departure_known_to_another_node_closes_an_upstream_opened_by_a_health_check)
+{
+    upstream_lifecycle upstream;
+    EXPECT_EQ(upstream.health_check_passed("i-1", 4), lifecycle_change::opened);
+    EXPECT_EQ(upstream.restore({"i-0", std::chrono::milliseconds(0)}), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_EQ(upstream.restore({"i-1", std::chrono::milliseconds(5)}), lifecycle_change::closed);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+    // The first one restored is older and does not replace it.
+    upstream.restore({"i-0", std::chrono::milliseconds(0)});
+    upstream_heartbeat late;
+    late.instance = "i-1";
+    late.started_at = std::chrono::milliseconds(5);
+    late.sequence = 9;
+    late.slots = 4;
+    EXPECT_EQ(upstream.receive(late), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+}
+
 } // namespace agatespread
