sidecar: a version that no node has any more counts as lost

Cause: if the platform returned from an older copy and the only node that had the lost version ended, each request without a route would wait and get 503 until the operator wrote a newer version. Change: after four times the bound the node says 404 again.

--- a/include/agatespread/version_times.h
+++ b/include/agatespread/version_times.h
@@ -31,6 +31,9 @@
     std::chrono::milliseconds platform_read_delay;
     /// For which a request without a route waits for a newer version that the node knows of.
     std::chrono::milliseconds unrouted_wait;
+    /// After which a version that the node has heard of and could not get counts as lost, for
+    /// example because the platform returned from an older copy.
+    std::chrono::milliseconds lost_version_age;
 };
 
 } // namespace agatespread
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -154,7 +154,9 @@
 
 bool caller_request::wait_for_version()
 {
-    if (!owner_->versions.behind() || owner_->stopping) {
+    const milliseconds behind = owner_->versions.behind_for(owner_->loop.now());
+    if (!owner_->versions.behind() || behind >= owner_->times.lost_version_age ||
+        owner_->stopping) {
         return false;
     }
     owner_->unrouted_requests.push_back(weak_from_this());
@@ -162,12 +164,12 @@
         return true;
     }
     waiting_for_version_ = true;
-    timer_ =
-        owner_->loop.after(owner_->times.unrouted_wait, [self = shared_from_this()](time_point) {
-            // Ending the request destroys this function object.
-            const std::shared_ptr<caller_request> request = self;
-            request->refuse_unrouted();
-        });
+    timer_ = owner_->loop.after(owner_->times.unrouted_wait,
+                                [self = shared_from_this()](time_point) mutable {
+                                    // Ending the request destroys this function object.
+                                    const std::shared_ptr<caller_request> request = std::move(self);
+                                    request->refuse_unrouted();
+                                });
     return true;
 }
 
--- a/src/version_times.cpp
+++ b/src/version_times.cpp
@@ -22,7 +22,8 @@
       late_poll_delay(percent_of(bound, 20)), near_fetch_jitter(percent_of(bound, 7)),
       far_fetch_delay(percent_of(bound, 15)), reader_fetch_delay(percent_of(bound, 20)),
       next_fetch_delay(percent_of(bound, 10)), fetch_timeout(percent_of(bound, 50)),
-      platform_read_delay(percent_of(bound, 40)), unrouted_wait(percent_of(bound, 25))
+      platform_read_delay(percent_of(bound, 40)), unrouted_wait(percent_of(bound, 25)),
+      lost_version_age(percent_of(bound, 400))
 {
 }
 
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -478,6 +478,35 @@
     EXPECT_TRUE(eventually_responds_with(first, 200));
 }
 
+// Guards against an odd row of another writer that ends the node, or that keeps it from following
+// the entries of its peers.
+TEST_F(sidecar_test, odd_entries_do_not_hide_the_others)
+{
+    constexpr std::size_t max_row_bytes = 65536;
+    peer_entry wrong_port{"odd-4", "cairo", "rounds", "127.0.0.1:99999", "127.0.0.1:99999"};
+    const std::vector<std::string> odd = {std::string(max_row_bytes, '\x81'),
+                                          std::string(max_row_bytes, '\x9f'), "", "{}",
+                                          encode_entry(wrong_port)};
+    const auto write_odd_rows = [this, &odd](const std::string& prefix) {
+        thread.call([&] {
+            transaction write;
+            for (std::size_t index = 0; index < odd.size(); ++index) {
+                write.writes.push_back({"nodes/" + prefix + std::to_string(index), odd[index]});
+            }
+            store.commit(std::move(write), [](const absl::StatusOr<transaction_result>&) {});
+        });
+    };
+    write_odd_rows("odd-");
+    start(first, "a", "orders");
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    write_odd_rows("zzz-");
+    start(second, "b", "rounds");
+    send_heartbeat(second);
+    EXPECT_TRUE(eventually_responds_with(first, 200));
+    EXPECT_EQ(thread.call([this] { return data.gauge_of("agatespread_peers_known").value(); }), 2);
+}
+
 // Guards against nodes that keep believing in their entries in the directory after the platform
 // returned from an older copy. The third node does not read the platform by itself.
 TEST_F(sidecar_test, entries_lost_with_a_copy_are_written_again)
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -211,6 +211,7 @@
     beat(2);
     const time_point end = std::chrono::steady_clock::now() + window;
     std::vector<std::thread> callers;
+    callers.reserve(slots);
     for (int caller = 0; caller < slots; ++caller) {
         callers.emplace_back([this, caller, end] {
             while (std::chrono::steady_clock::now() < end) {
--- a/test/sidecar-version-test.cpp
+++ b/test/sidecar-version-test.cpp
@@ -25,7 +25,13 @@
         };
         adjust_settings = [this](sidecar_settings& settings) {
             report_address = settings.report_address;
+            settings.version_bound = version_bound;
         };
+        start_node();
+    }
+
+    void start_node()
+    {
         start(first, "z", "rounds");
         configure("1 1000 idempotent rounds");
         ASSERT_TRUE(eventually_ready(first));
@@ -51,6 +57,7 @@
         sidecar_fixture::TearDown();
     }
 
+    milliseconds version_bound = std::chrono::seconds(2);
     std::string report_address;
     std::atomic<bool> asked{false};
     std::vector<std::shared_ptr<http_exchange>> fetches;
@@ -91,6 +98,20 @@
     EXPECT_LT(std::chrono::steady_clock::now() - sent_at, std::chrono::seconds(1));
 }
 
+// Guards against 503 for good instead of 404 after a version was lost with the nodes that had it.
+TEST_F(sidecar_version, version_that_no_node_has_any_more_counts_as_lost)
+{
+    thread.call([this] { first.node.reset(); });
+    first.upstream.reset();
+    version_bound = milliseconds(200);
+    start_node();
+    start_peers();
+    peers->report(2);
+    ASSERT_TRUE(thread.eventually([this] { return asked.load(); }));
+    EXPECT_EQ(send(first, "1").response.status, 503);
+    EXPECT_TRUE(eventually_responds_with(first, 404));
+}
+
 // Guards against a node that stays behind although the platform has the version and responds.
 TEST_F(sidecar_version, version_is_read_from_the_platform_when_no_peer_answers)
 {
