--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -122,6 +122,7 @@
     void send_fetch(const peer_entry& peer);
     void handle_fetched_configuration(const http_result& result, const node_id& node);
     void schedule_platform_read();
+    void read_platform_if_behind(time_point now);
     void read_platform(std::chrono::milliseconds behind);
     void on_platform_read(absl::StatusOr<std::optional<std::string>> result);
     void log_failed_fetch(const node_id& node, bool connected, const std::string& error);
--- a/src/sidecar_platform.cpp
+++ b/src/sidecar_platform.cpp
@@ -284,16 +284,19 @@
     platform_read_scheduled = true;
     const milliseconds behind = versions.behind_for(loop.now());
     platform_read_timer = loop.after(std::max(times.platform_read_delay - behind, milliseconds(1)),
-                                     [this](time_point now) {
-                                         platform_read_scheduled = false;
-                                         const milliseconds behind_now = versions.behind_for(now);
-                                         if (behind_now >= times.platform_read_delay) {
-                                             read_platform(behind_now);
-                                         }
-                                         else if (versions.behind()) {
-                                             schedule_platform_read();
-                                         }
-                                     });
+                                     [this](time_point now) { read_platform_if_behind(now); });
+}
+
+void sidecar::impl::read_platform_if_behind(time_point now)
+{
+    platform_read_scheduled = false;
+    const milliseconds behind = versions.behind_for(now);
+    if (behind >= times.platform_read_delay) {
+        read_platform(behind);
+    }
+    else if (versions.behind()) {
+        schedule_platform_read();
+    }
 }
 
 void sidecar::impl::read_platform(milliseconds behind)
@@ -327,10 +330,8 @@
         const milliseconds delay =
             std::max(times.platform_read_delay, versions.behind_for(loop.now()) / 2);
         platform_read_scheduled = true;
-        platform_read_timer = loop.after(delay, [this](time_point) {
-            platform_read_scheduled = false;
-            schedule_platform_read();
-        });
+        platform_read_timer =
+            loop.after(delay, [this](time_point now) { read_platform_if_behind(now); });
     }
 }
 
--- /dev/null
+++ b/src/sidecar_upstream.cpp
@@ -0,0 +1,177 @@
+#include "sidecar_impl.h"
+#include "state_names.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace agatespread {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Delay of the first health check of an upstream and time between further ones. They end with the
+// first heartbeat; the upstream sends one every 1.5 s.
+constexpr milliseconds first_probe_delay{20};
+constexpr milliseconds probe_period{500};
+constexpr milliseconds probe_timeout{400};
+
+// Smaller relative changes of an upstream's rate limit are not logged.
+constexpr double min_logged_change = 0.2;
+
+std::string to_text(const std::optional<double>& rate)
+{
+    return rate ? fmt::format("{:.1f}", *rate) : "none";
+}
+
+} // namespace
+
+void sidecar::impl::load_departure()
+{
+    departures.load([this](const std::optional<upstream_departure>& departure) {
+        if (departure) {
+            log.change("departure_restored",
+                       {{"instance", departure->instance}, {"started_at", departure->started_at}});
+            apply(upstream.restore(*departure), "departure");
+        }
+        // Not before: a health check may pass although the upstream has left.
+        probe_timer = loop.after(first_probe_delay, [this](time_point) { probe_upstream(); });
+    });
+}
+
+void sidecar::impl::record_departure()
+{
+    const std::optional<upstream_departure> departure = upstream.departure();
+    if (departure) {
+        departures.store(*departure);
+    }
+}
+
+void sidecar::impl::probe_upstream()
+{
+    if (upstream.heartbeat_received() || upstream.state() == upstream_state::ready) {
+        return;
+    }
+    http_call call;
+    call.url = "http://" + settings.upstream_address + dialect.health_path;
+    call.timeout = probe_timeout;
+    call.request.headers.set("Host", settings.upstream_address);
+    client.send(std::move(call), [weak = weak_from_this()](const http_result& result) {
+        const std::shared_ptr<impl> self = weak.lock();
+        if (!self) {
+            return;
+        }
+        std::optional<std::string> instance;
+        if (result.outcome == http_outcome::answered) {
+            instance = self->dialect.read_health(result.response);
+        }
+        if (instance) {
+            self->apply(self->upstream.health_check_passed(*instance, self->settings.default_slots),
+                        "health_check");
+            return;
+        }
+        self->probe_timer = self->loop.after(
+            probe_period, [raw = self.get()](time_point) { raw->probe_upstream(); });
+    });
+}
+
+upstream_state sidecar::impl::gate_state() const
+{
+    return upstream.state();
+}
+
+void sidecar::impl::apply(lifecycle_change change, std::string_view cause)
+{
+    if (change == lifecycle_change::none) {
+        return;
+    }
+    update_gate(upstream.state());
+    log.change(change == lifecycle_change::opened ? "gate_opened" : "gate_closed",
+               {{"instance", upstream.instance()},
+                {"state", name_of(upstream.state())},
+                {"cause", cause},
+                {"slots", upstream.slots()}});
+    send_report();
+}
+
+void sidecar::impl::update_gate(upstream_state state)
+{
+    apply(gate.set_upstream(state, upstream.slots(), loop.now()));
+}
+
+void sidecar::impl::end_replaced_upstream(std::uint64_t replacements_before)
+{
+    if (upstream.replacements() != replacements_before) {
+        apply(guard.upstream_replaced(upstream.exit_announced(), loop.now()), "replaced");
+        limit_upstream_rate(std::nullopt);
+        rate_limit_heard = false;
+    }
+}
+
+void sidecar::impl::log_ignored_message(const std::string& instance, milliseconds started_at,
+                                        std::string_view reported)
+{
+    log.change("upstream_message_ignored", {{"instance", instance},
+                                            {"started_at", started_at},
+                                            {"reported", reported},
+                                            {"current", upstream.instance()},
+                                            {"state", name_of(upstream.state())}});
+}
+
+void sidecar::impl::mark_upstream_unreachable(std::string_view cause)
+{
+    apply(upstream.mark_unreachable(), cause);
+}
+
+void sidecar::impl::apply_announcements(const upstream_response_metadata& response,
+                                        const std::string& instance)
+{
+    // A late response of an earlier incarnation says nothing about the current one.
+    if (response.other_instance || instance != upstream.instance()) {
+        return;
+    }
+    if (response.leaving) {
+        apply(upstream.mark_leaving(), "response");
+        record_departure();
+    }
+    // The limit ends with the first response without one, if the upstream itself has written it.
+    if (response.rate_limit || response.authentic) {
+        rate_limit_heard = true;
+        limit_upstream_rate(response.rate_limit);
+    }
+}
+
+void sidecar::impl::apply_peer_announcement(const upstream_announcement& announced)
+{
+    if (announced.leaving) {
+        apply(upstream.restore({announced.instance, announced.started_at}), "peer");
+        record_departure();
+    }
+    if (announced.rate_limit && !rate_limit_heard && announced.instance == upstream.instance()) {
+        limit_upstream_rate(announced.rate_limit);
+    }
+}
+
+void sidecar::impl::limit_upstream_rate(std::optional<double> per_second)
+{
+    if (!per_second && !logged_rate_limit) {
+        return;
+    }
+    const double before = logged_rate_limit.value_or(0);
+    const bool similar = per_second.has_value() == logged_rate_limit.has_value() &&
+                         std::abs(per_second.value_or(0) - before) <= before * min_logged_change;
+    if (!similar) {
+        log.change("upstream_rate_limit", {{"instance", upstream.instance()},
+                                           {"per_second", to_text(per_second)},
+                                           {"before", to_text(logged_rate_limit)}});
+        logged_rate_limit = per_second;
+    }
+    counters.upstream_rate_limit.set(
+        per_second ? std::max<std::int64_t>(1, std::llround(std::ceil(*per_second))) : 0);
+    apply(gate.set_rate_limit(per_second, loop.now()));
+}
+
+} // namespace agatespread
--- a/test/rate_limiter-test.cpp
+++ b/test/rate_limiter-test.cpp
@@ -66,4 +66,18 @@
     EXPECT_TRUE(limiter.try_take(start + seconds(4)));
 }
 
+// Guards against a burst after a host was suspended, in which no token was taken.
+TEST(rate_limiter, pause_leaves_the_tokens_of_one_burst)
+{
+    constexpr double per_second = 20;
+    rate_limiter limiter;
+    limiter.set_rate(per_second, time_point());
+    const time_point resumed = time_point() + std::chrono::minutes(1);
+    int taken = 0;
+    while (limiter.try_take(resumed)) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, static_cast<int>(per_second * 0.25)); // The default burst is 250 ms.
+}
+
 } // namespace agatespread
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -124,6 +124,32 @@
     EXPECT_EQ(first.request_count, before);
 }
 
+// Guards against a leaving that takes effect only while the platform is in reach.
+TEST_F(sidecar_upstream, leaving_closes_the_gate_while_the_platform_is_down)
+{
+    start(first, "a", "rounds");
+    start(second, "b", "orders");
+    first.serve = [](const std::shared_ptr<http_exchange>& exchange) {
+        http_response response = make_response(exchange->request());
+        response.headers.add("Leaving", "1");
+        exchange->respond(std::move(response));
+    };
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    ASSERT_TRUE(eventually_ready(second));
+    thread.call([this] {
+        platform_faults faults;
+        faults.down = true;
+        store.set_faults(faults);
+    });
+    send_heartbeat(first);
+    ASSERT_TRUE(eventually_responds_with(second, 200));
+    const int before = first.request_count;
+    EXPECT_EQ(send(first, "1").response.status, 503);
+    EXPECT_EQ(send(second, "2").response.status, 503);
+    EXPECT_EQ(first.request_count, before);
+}
+
 // Guards against requests from a host that has passed on the leaving, after the node beside the
 // upstream restarted without the platform and a late heartbeat arrived there.
 TEST_F(sidecar_upstream, leaving_that_another_node_has_passed_on_outlasts_a_restart_of_the_gate)
