sidecar: a request whose caller has left is not sent on

Cause: on a host that is behind, requests wait in the sockets until their callers give up. The node reads a request, handles it, and reads the end of its connection one turn of the event loop later; by then a request on an open connection to the upstream is on its way. An earlier test of this passed because its upstream had no open connection. Change: http_exchange::client_left looks at the socket; such a request is logged as cancelled and goes nowhere, at the caller's node and at the gate's.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -79,6 +79,10 @@
     /// Returns whether the request came from a process on this host.
     virtual bool is_from_loopback() const { return false; }
 
+    /// Returns whether the client has closed the connection, also if the server has not read that
+    /// yet; must be called on the event loop's thread.
+    virtual bool client_left() const { return false; }
+
     /// Sets a function that is called on the event loop if the client disconnects before the
     /// response is sent.
     virtual void on_cancel(std::function<void()> call) = 0;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -86,6 +86,12 @@
 void caller_request::start()
 {
     context_ = owner_->dialect.read_request(exchange_->request());
+    // Load pattern: callers give up while their requests wait to be read. The end of a connection
+    // is read one turn of the event loop after its request, which may have been sent on by then.
+    if (exchange_->client_left()) {
+        cancel();
+        return;
+    }
     exchange_->on_cancel([weak = weak_from_this()] {
         if (const std::shared_ptr<caller_request> self = weak.lock()) {
             self->cancel();
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <unordered_map>
 
 namespace agatespread::detail {
@@ -75,6 +76,7 @@
     void check_timeouts(time_point now);
     bool idle() const { return pending_.empty() && message_bytes_ == 0 && !writing_; }
     time_point last_activity() const { return last_activity_; }
+    bool closed_by_client() const;
     void abort();
     const std::shared_ptr<server_state>& server() const { return server_; }
 
@@ -116,6 +118,12 @@
     const http_request& request() const override { return request_; }
     bool is_from_loopback() const override { return from_loopback_; }
 
+    bool client_left() const override
+    {
+        const std::shared_ptr<server_connection> live = connection_.lock();
+        return disconnected_ || !live || live->closed_by_client();
+    }
+
     void respond(http_response response) override
     {
         if (answered_.exchange(true) || !server_->open) {
@@ -351,6 +359,17 @@
     server_->connections[id] = std::move(self);
 }
 
+bool server_connection::closed_by_client() const
+{
+    if (socket_ == nullptr) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t bytes =
+        ::recv(socket_->native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool server_connection::on_read(std::size_t bytes) noexcept
 {
     last_activity_ = std::chrono::steady_clock::now();
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -351,6 +351,11 @@
         exchange->respond(std::move(response));
         return;
     }
+    if (exchange->client_left()) {
+        log.request("request_cancelled", dialect.read_request(exchange->request()).request_id,
+                    {{"sent_to", settings.node}, {"held", milliseconds(0)}}, loop.now());
+        return;
+    }
     http_request request = exchange->request();
     strip_headers(request.headers);
     const std::uint64_t id = ++last_gate_id;
--- a/test/sidecar-test.cpp
+++ b/test/sidecar-test.cpp
@@ -175,6 +175,49 @@
     EXPECT_GT(served, 0);
 }
 
+// Guards against requests that a node reads late, after their callers have left, and sends on
+// before it reads the ends of their connections.
+TEST_F(sidecar_test, request_whose_caller_has_left_is_not_sent_on)
+{
+    constexpr int rounds = 20;
+    std::atomic<int> arrivals{0};
+    raw_upstream upstream([&arrivals](asio::ip::tcp::socket& socket, int) {
+        while (true) {
+            std::string head;
+            asio::error_code error;
+            asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+            if (error) {
+                return;
+            }
+            arrivals += head.find("GET /x/late") == 0 ? 1 : 0;
+            const std::size_t id = head.find("\r\nId: ") + 6;
+            raw_upstream::write(socket,
+                                "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\nId: " +
+                                    head.substr(id, head.find('\r', id) - id) + "\r\n\r\n");
+        }
+    });
+    start(first, "a", "rounds", upstream.address());
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    const std::string address = thread.call([this] { return first.node->caller_address(); });
+    for (int round = 0; round < rounds; ++round) {
+        send_heartbeat(first, "i-1", false, static_cast<std::uint64_t>(round) + 1);
+        // Leaves an open connection to the upstream, on which a request is sent at once.
+        ASSERT_EQ(send(first, "open-" + std::to_string(round)).response.status, 200);
+        std::promise<void> caller_left;
+        thread.loop().post([&caller_left] { caller_left.get_future().wait(); });
+        raw_connection caller(address);
+        caller.send("GET /x/late HTTP/1.1\r\nHost: mesh.example\r\nId: late\r\n\r\n");
+        caller.close();
+        std::this_thread::sleep_for(milliseconds(5)); // For the end to reach the node's socket.
+        caller_left.set_value();
+        thread.call([] {});
+    }
+    EXPECT_EQ(send(first, "last").response.status, 200);
+    EXPECT_EQ(arrivals, 0);
+    thread.call([this] { first.node.reset(); }); // Closes its connection to the upstream.
+}
+
 // Guards against a request that outlasts the timeout configured for its rule.
 TEST_F(sidecar_test, request_ends_at_the_timeout_of_its_rule)
 {
