--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -190,8 +190,8 @@
     if (done_) {
         return;
     }
-    const std::shared_ptr<caller_request> self =
-        shared_from_this(); // The timer may hold the last one.
+    // The timer that is replaced here may hold the last reference.
+    const std::shared_ptr<caller_request> self = shared_from_this();
     proceed();
 }
 
