--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "stand_ins"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 import mesh as stand_ins  # noqa: E402
 
 # The figures of zborovo-mesh.
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,7 +9,7 @@
 
 if sys.version_info < (3, 9):
     sys.exit("python3 3.9 or later is needed")
-for source in sorted(pathlib.Path(".").glob("*/*.py")):
+for source in sorted(pathlib.Path(".").glob("**/*.py")):
     ast.parse(source.read_text(encoding="utf-8"), str(source))
     print(f"{source}: ok")
 PYTHON
--- a/review/stand_ins/mesh.py
+++ b/review/mesh.py
@@ -20,7 +20,7 @@
 import time
 import urllib.parse
 
-REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
+REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 HEARTBEAT_PERIOD = 1.5
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
