--- a/review/mesh.py
+++ b/review/mesh.py
@@ -17,6 +17,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -367,8 +368,8 @@
                     return
                 gone.cancel()
                 close = self.state == "draining"
-                writer.write(run.result())
-                await writer.drain()
+                if await self.send(writer, run.result()):
+                    return
                 try:
                     await gone
                     return
@@ -383,6 +384,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def send(self, writer, answer):
+        """Sends an answer; returns whether the connection ends with it."""
+        writer.write(answer)
+        await writer.drain()
+        return False
+
     def headers(self, request, signed):
         fields = {"X-Request-Id": request.get("x-request-id")}
         if signed:
@@ -565,6 +572,95 @@
         self.record.close()
 
 
+def resident_mb(pid):
+    try:
+        with open(f"/proc/{pid}/statm", encoding="ascii") as source:
+            return int(source.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+    except (OSError, IndexError):
+        return 0.0
+
+
+class MemoryLimit:
+    """Kills a node that exceeds its memory, as the platform does."""
+
+    def __init__(self, mesh, limit_mb):
+        self.mesh = mesh
+        self.limit_mb = limit_mb
+        self.peak = {}
+        self.killed = []
+        self.done = False
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def watch(self):
+        while not self.done:
+            for machine in self.mesh.machines:
+                process = machine.process
+                if (process is None or process.returncode is not None
+                        or machine.name in self.killed):
+                    continue
+                used = resident_mb(process.pid)
+                self.peak[machine.name] = max(self.peak.get(machine.name, 0), used)
+                if used > self.limit_mb:
+                    self.killed.append(machine.name)
+                    os.kill(process.pid, signal.SIGKILL)
+                    self.mesh.record.line("killed_for_memory", node=machine.name,
+                                          used_mb=int(used), limit_mb=self.limit_mb)
+            time.sleep(0.002)
+
+
+class KeptConnection:
+    """A client that sends one request after the other on an open connection."""
+
+    def __init__(self, mesh, machine, number, method, host, target, deadline):
+        self.mesh = mesh
+        self.machine = machine
+        self.number = number
+        self.start = f"{method} {target} HTTP/1.1"
+        self.host = host
+        self.deadline = deadline
+        self.answered = 0  # On the open connection.
+        self.closed_during = None  # Id of the request on which the connection ended.
+        self.stopping = False
+
+    async def run(self):
+        address, port = self.machine.address["outbound"].split(":")
+        reader, writer = await asyncio.open_connection(address, int(port))
+        count = 0
+        while not self.stopping:
+            count += 1
+            request_id = "%08x%08x" % (0xc0000000 + self.number, count)
+            self.mesh.record.line("sent", node=self.machine.name, id=request_id,
+                                  answered_before=self.answered)
+            writer.write(encode(self.start, {"Host": self.host, "X-Request-Id": request_id,
+                                             "X-Deadline-Ms": str(int(self.deadline * 1000))},
+                                b"seat"))
+            answer = await read_message(reader)
+            self.mesh.record.line("answered", node=self.machine.name, id=request_id,
+                                  status=answer.status if answer else 0)
+            if answer is None:
+                self.closed_during = request_id
+                break
+            self.answered += 1
+            if answer.get("connection").lower() == "close":
+                writer.close()
+                # Clients come back as a refusal tells them.
+                await asyncio.sleep(min(float(answer.get("retry-after", "0")), 1.0))
+                if self.stopping:
+                    return
+                reader, writer = await asyncio.open_connection(address, int(port))
+                self.answered = 0
+        writer.close()
+
+
+def lost_on_kept_connections(clients, upstreams):
+    """Returns the requests that reached an upstream and whose kept connection was closed without
+    an answer."""
+    arrived = {request_id for upstream in upstreams for _, request_id in upstream.arrivals}
+    return [client.closed_during for client in clients
+            if client.answered > 0 and client.closed_during in arrived]
+
+
 def config(version, rules, limits=None):
     """A configuration of the operator; a rule is a dict with the fields of the pages."""
     hosts = {}
