--- a/review/5/case.py
+++ b/review/5/case.py
@@ -82,7 +82,7 @@
     await asyncio.sleep(STABLE_WINDOW + 0.5)
     requests = [asyncio.create_task(
         mesh.request(node, "POST", "riser.example", f"/seat/{number}", DEADLINE, b"seat"))
-        for number in range(4)]
+        for number in range(12)]
     await asyncio.sleep(0.3)
     leaving.end()
     statuses = {request_id: status for request_id, status, _ in await asyncio.gather(*requests)}
