sidecar: count the bytes of responses; log requests that start after a leaving

Change: body_memory counts the bodies of responses from their first byte until they are written (gauges agatespread_body_bytes, agatespread_body_peak_bytes); its limit is not used yet. Events gate_started_late and departure_absent. No decision changes.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <agatespread/body_memory.h>
 #include <agatespread/event_loop.h>
 
 #include <absl/status/status.h>
@@ -58,6 +59,8 @@
     int status = 200;
     http_headers headers;
     std::string body;
+    /// Counts the body of a received response until it is destroyed or has been written.
+    std::shared_ptr<body_memory::reservation> memory = nullptr;
 };
 
 /// One request that a server received and that needs a response.
@@ -183,8 +186,10 @@
     using call_id = std::uint64_t;
     using callback = std::function<void(http_result)>;
 
-    /// Opens at most `connections_per_host` connections to each host.
-    explicit http_client(event_loop& loop, std::size_t connections_per_host = 100);
+    /// Opens at most `connections_per_host` connections to each host. The bodies of responses are
+    /// counted in `memory`; a call whose body does not fit ends as `too_large`.
+    explicit http_client(event_loop& loop, std::size_t connections_per_host = 100,
+                         body_memory memory = body_memory());
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     ~http_client();
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -1,6 +1,7 @@
 #include "gate_request.h"
 
 #include "connect_probe.h"
+#include "state_names.h"
 
 #include <algorithm>
 #include <utility>
@@ -160,6 +161,15 @@
     if (entry.trial) {
         owner_->publish_crashes({*entry.trial});
     }
+    if (owner_->gate_state() != upstream_state::ready) {
+        owner_->log.request("gate_started_late", request_id_,
+                            {{"rule", metadata_.rule},
+                             {"instance", owner_->upstream.instance()},
+                             {"state", name_of(owner_->gate_state())},
+                             {"closed_for", duration_cast<milliseconds>(now - owner_->gate_closed)},
+                             {"held", duration_cast<milliseconds>(now - arrived_)}},
+                            now);
+    }
     const milliseconds time_left = duration_cast<milliseconds>(deadline_ - now);
     stage_ = stage::running;
     forwarded_ = now;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 struct http_client::impl {
-    impl(asio::io_context& context, std::size_t connections_per_host)
-        : curl(context, connections_per_host,
+    impl(asio::io_context& context, std::size_t connections_per_host, body_memory body_bytes)
+        : memory(std::move(body_bytes)),
+          curl(context, connections_per_host,
                [this](CURL* easy, CURLcode code) { finish(easy, code); })
     {
     }
@@ -38,6 +39,7 @@
     impl& operator=(const impl&) = delete;
     ~impl()
     {
+        *alive = false;
         for (const std::pair<const call_id, active_call>& entry : calls) {
             curl.remove(entry.second.transfer->easy());
         }
@@ -58,7 +60,8 @@
             idle.pop_back();
         }
         else {
-            transfer = std::make_unique<detail::http_transfer>(curl);
+            transfer = std::make_unique<detail::http_transfer>(
+                curl, memory, [this](call_id discarded) { post_end(discarded); });
         }
         transfer->prepare(id, std::move(call));
         CURL* const easy = transfer->easy();
@@ -94,16 +97,35 @@
         }
     }
 
+    /// Ends a call whose body was discarded. Posted, because libcurl may be in a callback.
+    void post_end(call_id id)
+    {
+        asio::post(curl.context(), [this, id, live = alive] {
+            if (*live) {
+                end(id);
+            }
+        });
+    }
+
+    void end(call_id id)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            return;
+        }
+        active_call ended = remove(found);
+        http_result result = ended.transfer->result(CURLE_WRITE_ERROR);
+        recycle(std::move(ended.transfer));
+        ended.done(std::move(result));
+    }
+
     void cancel(call_id id)
     {
         const auto found = calls.find(id);
         if (found == calls.end()) {
             return;
         }
-        active_call ended = std::move(found->second);
-        calls.erase(found);
-        // Removing a transfer in progress closes its connection.
-        curl.remove(ended.transfer->easy());
+        active_call ended = remove(found);
         http_result result;
         result.outcome = http_outcome::cancelled;
         result.sent = ended.transfer->sent();
@@ -112,14 +134,25 @@
         post_result(std::move(ended.done), std::move(result));
     }
 
+    /// Removes a call in progress and closes its connection.
+    active_call remove(std::unordered_map<call_id, active_call>::iterator found)
+    {
+        active_call ended = std::move(found->second);
+        calls.erase(found);
+        curl.remove(ended.transfer->easy());
+        return ended;
+    }
+
     std::unordered_map<call_id, active_call> calls;
     std::vector<std::unique_ptr<detail::http_transfer>> idle;
     call_id last_id = 0;
+    body_memory memory;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     detail::curl_loop curl; ///< Declared last, because it must be destroyed before the transfers.
 };
 
-http_client::http_client(event_loop& loop, std::size_t connections_per_host)
-    : impl_(std::make_unique<impl>(loop.native().context, connections_per_host))
+http_client::http_client(event_loop& loop, std::size_t connections_per_host, body_memory memory)
+    : impl_(std::make_unique<impl>(loop.native().context, connections_per_host, std::move(memory)))
 {
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -460,6 +460,7 @@
     last_activity_ = std::chrono::steady_clock::now();
     std::string head = response_head(response, pending.info);
     restinio::writable_items_container_t parts;
+    const std::shared_ptr<body_memory::reservation> memory = std::move(response.memory);
     if (response.body.size() <= max_copied) {
         head += response.body;
         parts.emplace_back(std::move(head));
@@ -468,12 +469,16 @@
         parts.emplace_back(std::move(head));
         parts.emplace_back(std::move(response.body));
     }
+    restinio::write_group_t group(std::move(parts));
+    if (memory) {
+        group.after_write_notificator([memory](const asio::error_code&) {});
+    }
     pending.handle->write_response_parts(
         pending.id,
         restinio::response_output_flags_t(
             restinio::response_parts_attr_t::final_parts,
             restinio::response_connection_attr(pending.info.keep_alive)),
-        restinio::write_group_t(std::move(parts)));
+        std::move(group));
 }
 
 void server_connection::check_timeouts(time_point now)
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::string_view scheme = "http://";
 
+constexpr std::string_view no_body_memory = "no memory is left for the body of the response";
+
 // Limits the header of a response, to which `max_response_bytes` does not apply.
 constexpr std::size_t max_response_header_bytes = 64U << 10U;
 
@@ -86,7 +88,9 @@
     return {};
 }
 
-http_transfer::http_transfer(curl_loop& loop) : loop_(loop), easy_(curl_easy_init())
+http_transfer::http_transfer(curl_loop& loop, body_memory memory, discard_hook on_discard)
+    : loop_(loop), memory_(std::move(memory)), on_discard_(std::move(on_discard)),
+      easy_(curl_easy_init())
 {
     loop_.set_socket_callbacks(easy_);
     set_constant_options();
@@ -139,6 +143,7 @@
     close_announced_ = false;
     headers_complete_ = false;
     failed_ = false;
+    body_bytes_ = memory_.reserve([this] { discard_body(); });
     curl_easy_setopt(easy_, CURLOPT_URL, call_.url.c_str());
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, call_.new_connection ? 1L : 0L);
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, call_.close_connection ? 1L : 0L);
@@ -200,6 +205,7 @@
     headers_ = nullptr;
     call_ = http_call();
     response_ = http_response();
+    body_bytes_ = body_memory::reservation();
     failure_text_.clear();
 }
 
@@ -343,13 +349,26 @@
 
 bool http_transfer::append_body(std::string_view bytes)
 {
+    if (failed_) {
+        return false;
+    }
     if (response_.body.size() + bytes.size() > call_.max_response_bytes) {
         return fail(http_outcome::too_large, "the response is too large");
     }
+    if (!body_bytes_.grow(bytes.size())) {
+        return fail(http_outcome::too_large, no_body_memory);
+    }
     response_.body.append(bytes);
     return true;
 }
 
+void http_transfer::discard_body()
+{
+    fail(http_outcome::too_large, no_body_memory);
+    std::string().swap(response_.body);
+    on_discard_(id_);
+}
+
 bool http_transfer::body_expected() const
 {
     return call_.request.method != "HEAD" && response_.status != 204 && response_.status != 304;
@@ -404,6 +423,11 @@
     result.sent = sent_;
     if (result.outcome == http_outcome::answered) {
         result.response = std::move(response_);
+        if (body_bytes_.bytes() > 0) {
+            body_bytes_.pin();
+            result.response.memory =
+                std::make_shared<body_memory::reservation>(std::move(body_bytes_));
+        }
     }
     else {
         result.error = error_of(code);
--- a/src/http_transfer.h
+++ b/src/http_transfer.h
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -17,7 +18,11 @@
 /// A reusable libcurl easy handle and the response that it receives.
 class http_transfer {
 public:
-    explicit http_transfer(curl_loop& loop);
+    /// Is called with the call whose body was discarded; it must be removed soon, and not in one of
+    /// libcurl's callbacks.
+    using discard_hook = std::function<void(http_client::call_id id)>;
+
+    http_transfer(curl_loop& loop, body_memory memory, discard_hook on_discard);
     http_transfer(const http_transfer&) = delete;
     http_transfer& operator=(const http_transfer&) = delete;
     ~http_transfer();
@@ -63,17 +68,21 @@
     bool parse_length(std::string_view value);
     bool finish_headers();
     bool append_body(std::string_view bytes);
+    void discard_body();
     bool fail(http_outcome outcome, std::string_view text);
     bool body_expected() const;
     http_outcome outcome_of(CURLcode code) const;
     std::string error_of(CURLcode code) const;
 
     curl_loop& loop_;
+    body_memory memory_;
+    const discard_hook on_discard_;
     CURL* easy_;
     http_client::call_id id_ = 0;
     http_call call_;
     curl_slist* headers_ = nullptr;
     http_response response_;
+    body_memory::reservation body_bytes_; ///< Of the body of `response_`.
     bool sent_ = false;
     bool stale_ = false;
     int stale_connections_ = 0;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -86,7 +86,10 @@
       crash_fingerprints(data.gauge_of("agatespread_crash_fingerprints")),
       upstream_rate_limit(data.gauge_of("agatespread_upstream_rate_limit")),
       caller_connections(data.gauge_of("agatespread_caller_connections")),
-      peer_connections(data.gauge_of("agatespread_call_connections"))
+      peer_connections(data.gauge_of("agatespread_call_connections")),
+      body_bytes(data.gauge_of("agatespread_body_bytes")),
+      body_peak_bytes(data.gauge_of("agatespread_body_peak_bytes")),
+      body_denials(data.gauge_of("agatespread_body_denials"))
 {
 }
 
@@ -114,7 +117,7 @@
                                 {{"action", action}, {"error", std::string(status.message())}});
                  }),
       gate(settings.admission), link(settings.link_bytes_per_second),
-      client(loop, client_connections_per_host), incarnation(random())
+      client(loop, client_connections_per_host, bodies), incarnation(random())
 {
 }
 
@@ -221,6 +224,9 @@
     const std::size_t limit = settings.caller_connections;
     counters.caller_connections.set(static_cast<std::int64_t>(caller_listener->connections()));
     counters.peer_connections.set(static_cast<std::int64_t>(call_listener->connections()));
+    counters.body_bytes.set(static_cast<std::int64_t>(bodies.used()));
+    counters.body_peak_bytes.set(static_cast<std::int64_t>(bodies.peak()));
+    counters.body_denials.set(static_cast<std::int64_t>(bodies.denials()));
     log_full_listener();
     if (caller_listener->connections() * 10 < limit * 8) {
         return;
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -75,6 +75,9 @@
     gauge& upstream_rate_limit; ///< Requests per second, rounded up; 0 for none.
     gauge& caller_connections;  ///< Open.
     gauge& peer_connections;    ///< Open, from other nodes.
+    gauge& body_bytes;          ///< Held in the bodies of responses.
+    gauge& body_peak_bytes;
+    gauge& body_denials; ///< Bodies that were discarded or refused for lack of memory.
 };
 
 } // namespace detail
@@ -192,7 +195,9 @@
     failure_rate failures;            ///< Failure rate of the upstream on this host.
     time_point upstream_responded_at; ///< The last response of the upstream on this host.
     bool probing_upstream = false;
+    time_point gate_closed; ///< When the gate last closed.
 
+    body_memory bodies; ///< Of all responses that the node receives.
     http_client client; ///< Connects to other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
     std::unique_ptr<http_server> call_listener;
--- a/src/sidecar_upstream.cpp
+++ b/src/sidecar_upstream.cpp
@@ -32,7 +32,10 @@
 void sidecar::impl::load_departure()
 {
     departures.load([this](const std::optional<upstream_departure>& departure) {
-        if (departure) {
+        if (!departure) {
+            log.change("departure_absent", {{"state", name_of(upstream.state())}});
+        }
+        else {
             log.change("departure_restored",
                        {{"instance", departure->instance}, {"started_at", departure->started_at}});
             apply(upstream.restore(*departure), "departure");
@@ -88,6 +91,9 @@
     if (change == lifecycle_change::none) {
         return;
     }
+    if (change == lifecycle_change::closed) {
+        gate_closed = loop.now();
+    }
     update_gate(upstream.state());
     log.change(change == lifecycle_change::opened ? "gate_opened" : "gate_closed",
                {{"instance", upstream.instance()},
