sidecar: bound the memory of all responses together

Cause: each response may take 64 MB and nothing bounds the sum; the node does not know the memory of its host. The largest unfinished response is discarded and its request ends with 502 at once. Why it works: an endless body becomes the largest one and pays for itself, however many there are; sound responses keep their memory. Conclusion: kept.

--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -36,6 +36,10 @@
 
 constexpr std::size_t client_connections_per_host = 200;
 
+// Share of the process's memory for message bodies. A body that grows is copied, so they take twice
+// as much for a moment; the rest is for connections and state.
+constexpr std::size_t body_memory_divisor = 4;
+
 } // namespace
 
 namespace detail {
@@ -117,6 +121,7 @@
                                 {{"action", action}, {"error", std::string(status.message())}});
                  }),
       gate(settings.admission), link(settings.link_bytes_per_second),
+      bodies(settings.memory_bytes / body_memory_divisor),
       client(loop, client_connections_per_host, bodies), incarnation(random())
 {
 }
--- /dev/null
+++ b/test/body_memory-test.cpp
@@ -0,0 +1,81 @@
+#include <agatespread/body_memory.h>
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace agatespread {
+
+TEST(body_memory, bytes_are_returned_with_their_reservation)
+{
+    body_memory memory(10);
+    {
+        body_memory::reservation body = memory.reserve();
+        EXPECT_TRUE(body.grow(10));
+        EXPECT_EQ(memory.used(), 10U);
+    }
+    EXPECT_EQ(memory.used(), 0U);
+    EXPECT_EQ(memory.peak(), 10U);
+}
+
+// Guards against a small body that is refused because one without end has taken all memory.
+TEST(body_memory, largest_body_gives_way_to_a_smaller_one)
+{
+    body_memory memory(100);
+    std::vector<int> reclaimed;
+    body_memory::reservation small = memory.reserve([&] { reclaimed.push_back(1); });
+    body_memory::reservation large = memory.reserve([&] { reclaimed.push_back(2); });
+    ASSERT_TRUE(small.grow(10));
+    ASSERT_TRUE(large.grow(80));
+    body_memory::reservation next = memory.reserve([&] { reclaimed.push_back(3); });
+    EXPECT_TRUE(next.grow(20));
+    EXPECT_EQ(reclaimed, std::vector<int>({2}));
+    EXPECT_EQ(large.bytes(), 0U);
+    EXPECT_EQ(memory.used(), 30U);
+    EXPECT_EQ(memory.denials(), 1U);
+}
+
+TEST(body_memory, largest_body_does_not_grow_at_the_cost_of_smaller_ones)
+{
+    body_memory memory(100);
+    body_memory::reservation small = memory.reserve([] { FAIL(); });
+    body_memory::reservation large = memory.reserve([] { FAIL(); });
+    ASSERT_TRUE(small.grow(20));
+    ASSERT_TRUE(large.grow(80));
+    EXPECT_FALSE(large.grow(1));
+    EXPECT_EQ(memory.used(), 100U);
+}
+
+// Guards against a complete response that is dropped before its caller has read it.
+TEST(body_memory, pinned_bodies_are_not_reclaimed)
+{
+    body_memory memory(100);
+    body_memory::reservation complete = memory.reserve([] { FAIL(); });
+    ASSERT_TRUE(complete.grow(100));
+    complete.pin();
+    EXPECT_FALSE(memory.reserve([] {}).grow(1));
+    complete.release();
+    EXPECT_TRUE(memory.reserve([] {}).grow(1));
+}
+
+// Guards against a reservation that is used after the hook of a reclaimed one destroyed it.
+TEST(body_memory, hook_may_destroy_the_reservation_that_grows)
+{
+    body_memory memory(10);
+    body_memory::reservation growing;
+    body_memory::reservation large = memory.reserve([&] { growing = {}; });
+    ASSERT_TRUE(large.grow(10));
+    growing = memory.reserve([] {});
+    growing.grow(2);
+    growing = {};
+    EXPECT_EQ(memory.used(), 0U);
+}
+
+TEST(body_memory, reservation_without_a_memory_counts_nothing)
+{
+    body_memory::reservation body;
+    EXPECT_TRUE(body.grow(1000));
+    EXPECT_EQ(body.bytes(), 0U);
+}
+
+} // namespace agatespread
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -105,6 +105,69 @@
     }
 }
 
+// Guards against a node that exceeds the memory of its host, and is killed with all its requests,
+// because its upstream sends several responses without end.
+TEST_F(sidecar_upstream, responses_without_end_are_cut_off_within_the_memory_for_bodies)
+{
+    constexpr std::size_t memory = 4U << 20U;
+    constexpr int endless_responses = 3;
+    adjust_settings = [](sidecar_settings& settings) { settings.memory_bytes = 4 * memory; };
+    std::vector<std::thread> responses;
+    std::atomic<int> endless{0};
+    raw_upstream upstream([&](asio::ip::tcp::socket& socket, int) {
+        const std::string id = id_of(read_head(socket));
+        const std::string head = "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSignature: s\r\n";
+        if (id.find("endless") != 0) {
+            raw_upstream::write(socket, head + "Content-Length: 2\r\nConnection: close\r\n\r\nok");
+            return;
+        }
+        ++endless;
+        raw_upstream::write(socket, head + "\r\n");
+        responses.emplace_back([connection = std::move(socket)]() mutable {
+            const std::string chunk(64U << 10U, 'z');
+            asio::error_code error;
+            while (!error) {
+                asio::write(connection, asio::buffer(chunk), error);
+                std::this_thread::sleep_for(milliseconds(2));
+            }
+        });
+    });
+    start(first, "a", "rounds", upstream.address());
+    configure("1 5000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    upstream_heartbeat heartbeat;
+    heartbeat.instance = "i-1";
+    heartbeat.sequence = 1;
+    heartbeat.slots = 10;
+    thread.call([&] { first.node->receive_heartbeat(heartbeat); });
+    std::vector<std::thread> callers;
+    std::atomic<int> failed{0};
+    for (int caller = 0; caller < endless_responses; ++caller) {
+        callers.emplace_back([this, &failed, caller] {
+            failed +=
+                send(first, "endless-" + std::to_string(caller), "POST").response.status == 502;
+        });
+    }
+    int sound = 0;
+    for (int id = 0; failed < endless_responses && id < 1000; ++id) {
+        EXPECT_EQ(send(first, std::to_string(id), "POST").response.status, 200);
+        ++sound;
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(endless, endless_responses);
+    EXPECT_EQ(failed, endless_responses);
+    EXPECT_GT(sound, 10);
+    const auto peak = [this] { return data.gauge_of("agatespread_body_peak_bytes").value(); };
+    EXPECT_TRUE(thread.eventually([&] { return peak() > 0; }));
+    EXPECT_LE(peak(), static_cast<std::int64_t>(memory));
+    thread.call([this] { first.node.reset(); });
+    for (std::thread& response : responses) {
+        response.join();
+    }
+}
+
 // Guards against a leaving that is heard only from responses that ran.
 TEST_F(sidecar_upstream, leaving_that_a_refusal_announces_closes_the_gate)
 {
