body_memory: allow responses to be destroyed on another thread

Cause: a response carries its reservation, and a caller of http_client may hand it to another thread; the destruction there raced with the loop's use of the set of holders. Seen once, in sidecar_test.rate_limit_of_an_upstream_holds_for_the_requests_of_all_nodes, whose callers are threads: the loop thread span in body_memory::reserve (stack taken with a debugger). Change: the state has a lock; hooks are called outside of it. Test: body_memory.pinned_reservations_may_end_on_other_threads, written with the change.

--- a/include/agatespread/body_memory.h
+++ b/include/agatespread/body_memory.h
@@ -9,9 +9,10 @@
 
 /// Counts the bytes of the message bodies that a process holds and bounds their sum.
 ///
-/// Used on one event loop. A holder of many bytes gives way to one of few: a reservation that
-/// does not fit reclaims the largest reclaimable one, so that a body without end costs its own
-/// request and not those beside it.
+/// A holder of many bytes gives way to one of few: a reservation that does not fit reclaims the
+/// largest reclaimable one, so that a body without end costs its own request and not those beside
+/// it. Reservations that can be reclaimed are used on one event loop; pinned ones may be destroyed
+/// on any thread.
 ///
 ///     body_memory memory(40U << 20U);
 ///     body_reservation body = memory.reserve([] { /* drop the body */ });
@@ -28,10 +29,6 @@
     /// needed elsewhere and have been returned already. Without a function it is never reclaimed.
     reservation reserve(std::function<void()> on_reclaim = nullptr);
 
-    /// Replaces the limit; bytes above a lower one are not reclaimed until others are needed.
-    void set_limit(std::size_t bytes);
-
-    std::size_t limit() const;
     std::size_t used() const;
 
     /// Returns the most bytes that were in use at a time.
--- a/src/body_memory.cpp
+++ b/src/body_memory.cpp
@@ -3,36 +3,43 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <mutex>
 #include <utility>
 
 namespace agatespread {
 
 struct body_memory::impl {
+    bool fits(std::size_t bytes) const { return used <= limit && bytes <= limit - used; }
+    reservation::holder* largest_reclaimable() const;
+
+    /// Takes the hook of the reservation that must give way, or nothing if none has to.
+    std::function<void()> reclaim_from(const reservation::holder& asking, std::size_t bytes);
+
+    mutable std::mutex mutex;
     std::size_t limit = unlimited;
     std::size_t used = 0;
     std::size_t peak = 0;
     std::size_t denials = 0;
     absl::flat_hash_set<reservation::holder*> holders;
-
-    bool fits(std::size_t bytes) const { return used <= limit && bytes <= limit - used; }
-    reservation::holder* largest_reclaimable() const;
-    bool make_room(const reservation::holder& asking, std::size_t bytes);
 };
 
 struct body_memory::reservation::holder {
     holder(std::shared_ptr<impl> memory, std::function<void()> hook)
         : owner(std::move(memory)), on_reclaim(std::move(hook))
     {
+        const std::lock_guard<std::mutex> lock(owner->mutex);
         owner->holders.insert(this);
     }
     holder(const holder&) = delete;
     holder& operator=(const holder&) = delete;
     ~holder()
     {
+        const std::lock_guard<std::mutex> lock(owner->mutex);
         release();
         owner->holders.erase(this);
     }
 
+    /// Requires the lock, as do the members below.
     void release() { owner->used -= std::exchange(bytes, 0); }
 
     std::shared_ptr<impl> owner;
@@ -51,18 +58,15 @@
     return largest;
 }
 
-bool body_memory::impl::make_room(const reservation::holder& asking, std::size_t bytes)
+std::function<void()> body_memory::impl::reclaim_from(const reservation::holder& asking,
+                                                      std::size_t bytes)
 {
-    while (!fits(bytes)) {
-        reservation::holder* const largest = largest_reclaimable();
-        if (largest == nullptr || largest->bytes <= asking.bytes + bytes) {
-            return false;
-        }
-        ++denials;
-        largest->release();
-        std::exchange(largest->on_reclaim, nullptr)();
+    reservation::holder* const largest = largest_reclaimable();
+    if (largest == nullptr || largest->bytes <= asking.bytes + bytes) {
+        return nullptr;
     }
-    return true;
+    largest->release();
+    return std::exchange(largest->on_reclaim, nullptr);
 }
 
 body_memory::body_memory(std::size_t limit_bytes) : impl_(std::make_shared<impl>())
@@ -75,28 +79,21 @@
     return reservation(std::make_shared<reservation::holder>(impl_, std::move(on_reclaim)));
 }
 
-void body_memory::set_limit(std::size_t bytes)
-{
-    impl_->limit = bytes;
-}
-
-std::size_t body_memory::limit() const
-{
-    return impl_->limit;
-}
-
 std::size_t body_memory::used() const
 {
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
     return impl_->used;
 }
 
 std::size_t body_memory::peak() const
 {
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
     return impl_->peak;
 }
 
 std::size_t body_memory::denials() const
 {
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
     return impl_->denials;
 }
 
@@ -119,9 +116,16 @@
     // The hook of another reservation may destroy this one.
     const std::shared_ptr<holder> self = holder_;
     impl& memory = *self->owner;
-    if (!memory.make_room(*self, bytes)) {
+    std::unique_lock<std::mutex> lock(memory.mutex);
+    while (!memory.fits(bytes)) {
         ++memory.denials;
-        return false;
+        const std::function<void()> reclaimed = memory.reclaim_from(*self, bytes);
+        if (!reclaimed) {
+            return false;
+        }
+        lock.unlock();
+        reclaimed();
+        lock.lock();
     }
     self->bytes += bytes;
     memory.used += bytes;
@@ -132,6 +136,7 @@
 void body_memory::reservation::release()
 {
     if (holder_) {
+        const std::lock_guard<std::mutex> lock(holder_->owner->mutex);
         holder_->release();
     }
 }
@@ -139,13 +144,18 @@
 void body_memory::reservation::pin()
 {
     if (holder_) {
+        const std::lock_guard<std::mutex> lock(holder_->owner->mutex);
         holder_->on_reclaim = nullptr;
     }
 }
 
 std::size_t body_memory::reservation::bytes() const
 {
-    return holder_ ? holder_->bytes : 0;
+    if (!holder_) {
+        return 0;
+    }
+    const std::lock_guard<std::mutex> lock(holder_->owner->mutex);
+    return holder_->bytes;
 }
 
 } // namespace agatespread
--- a/test/body_memory-test.cpp
+++ b/test/body_memory-test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
 #include <vector>
 
 namespace agatespread {
@@ -71,6 +72,27 @@
     EXPECT_EQ(memory.used(), 0U);
 }
 
+// Guards against a response that is destroyed on another thread than that of its client.
+TEST(body_memory, pinned_reservations_may_end_on_other_threads)
+{
+    constexpr int rounds = 2000;
+    body_memory memory;
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 4; ++thread) {
+        threads.emplace_back([&memory] {
+            for (int round = 0; round < rounds; ++round) {
+                body_memory::reservation body = memory.reserve([] {});
+                body.grow(10);
+                body.pin();
+            }
+        });
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    EXPECT_EQ(memory.used(), 0U);
+}
+
 TEST(body_memory, reservation_without_a_memory_counts_nothing)
 {
     body_memory::reservation body;
