admission: start queued calls of a leaving upstream for a short time only

Cause: admission control refused new calls of a draining upstream and went on to start queued ones for as long as their own deadlines allowed. Change: queued calls start within half of the bound 'drain' after the leaving; those that cannot are refused at once, the rest when it has passed. Why it works: whatever frees a slot later, the start itself asks for the time since the leaving; the other half of the bound covers the connection (0.5 s) and the loop. Tests: admission.queued_calls_do_not_start_past_the_window_of_a_leaving_upstream and ..._that_cannot_start_in_the_window_are_refused_at_the_leaving fail without the window. The old test is replaced by one that checks the same and names the limit.

--- a/include/agatespread/admission.h
+++ b/include/agatespread/admission.h
@@ -24,6 +24,8 @@
     double initial_slot_share = 0.2; ///< Share of the slots that are available at first.
     std::chrono::milliseconds probe_period = std::chrono::seconds(1); ///< See `admission`.
     std::chrono::milliseconds min_retry_after = std::chrono::milliseconds(100);
+    /// Time for which queued calls are still started after the upstream began to leave.
+    std::chrono::milliseconds leaving_window = std::chrono::seconds(1);
     double late_call_queue_per_slot = 0.5; ///< Late calls are queued below this length per slot.
 };
 
@@ -79,6 +81,9 @@
 /// are not spent on late responses under sustained overload. A late call is queued only while the
 /// queue is short, and refused immediately otherwise.
 ///
+/// An upstream that leaves gets no new calls, and queued ones only for a limited time; those that
+/// cannot start within it are refused, so that another upstream can run them.
+///
 /// A call is refused immediately if the observed service times, or the rate limit of the upstream,
 /// show that it cannot finish within its deadline. While the upstream is idle, and once per probe
 /// period for each kind, a call is accepted regardless of the estimate; otherwise an estimate that
@@ -156,6 +161,7 @@
                 admission_actions& actions);
     void refuse_queue(refusal_reason reason, time_point now, admission_actions& actions);
     void refuse_expired(time_point now, admission_actions& actions);
+    bool past_leaving_window(nanoseconds wait, time_point now) const;
     void start_queued(time_point now, admission_actions& actions);
     void record_service_time(const call& ended, time_point now);
     void update_recent_kinds(std::uint32_t kind, nanoseconds mean);
@@ -165,6 +171,7 @@
     upstream_state state_ = upstream_state::gone;
     std::uint32_t slots_ = 0;
     time_point ready_since_;
+    time_point leaving_since_; ///< While the state is `draining`.
     std::uint32_t running_ = 0;
     rate_limiter starts_;
     std::map<queue_key, nanoseconds> queue_; ///< Expected service time of each queued call.
--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -92,6 +92,8 @@
     std::chrono::milliseconds shutdown_delay = std::chrono::milliseconds(2300);
     /// Time from the acknowledgement of a version by the platform until it must be in force here.
     std::chrono::milliseconds version_bound = std::chrono::seconds(2);
+    /// Time from the acknowledgement that an upstream leaves until the last request may reach it.
+    std::chrono::milliseconds drain_bound = std::chrono::seconds(2);
     repeat_budget_options retries;
     peer_options peers;
     placement_options placement;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -54,6 +54,9 @@
     if (state == upstream_state::ready && was_cold) {
         ready_since_ = now;
     }
+    if (state == upstream_state::draining && state_ != upstream_state::draining) {
+        leaving_since_ = now;
+    }
     state_ = state;
     slots_ = slots;
     admission_actions actions;
@@ -61,6 +64,9 @@
         refuse_queue(refusal_reason::unavailable, now, actions);
     }
     start_queued(now, actions);
+    if (state == upstream_state::draining) {
+        refuse_expired(now, actions);
+    }
     return actions;
 }
 
@@ -332,14 +338,18 @@
             std::max(wait_for_slot(ahead, slots), starts_.delay(calls_ahead, now));
         const nanoseconds needed = wait + expected_service_time(queued.request.kind);
         const nanoseconds left = queued.request.deadline - now;
-        if (left > nanoseconds(0) && (queued.probe || needed <= left)) {
+        const bool leaving = past_leaving_window(wait, now);
+        if (left > nanoseconds(0) && !leaving && (queued.probe || needed <= left)) {
             ahead += entry->second;
             ++calls_ahead;
             ++entry;
             continue;
         }
-        const refusal_reason reason =
+        refusal_reason reason =
             left > nanoseconds(0) ? refusal_reason::too_late : refusal_reason::expired;
+        if (leaving) {
+            reason = refusal_reason::draining;
+        }
         const std::uint64_t id = queued.request.id;
         calls_.erase(id);
         entry = queue_.erase(entry);
@@ -347,8 +357,18 @@
     }
 }
 
+bool admission::past_leaving_window(nanoseconds wait, time_point now) const
+{
+    return state_ == upstream_state::draining &&
+           now + wait >= leaving_since_ + options_.leaving_window;
+}
+
 void admission::start_queued(time_point now, admission_actions& actions)
 {
+    if (past_leaving_window(nanoseconds(0), now)) {
+        refuse_queue(refusal_reason::draining, now, actions);
+        return;
+    }
     const std::uint32_t slots = available_slots(now);
     while (running_ < slots && !queue_.empty() && starts_.delay(0, now).count() == 0) {
         const std::uint64_t id = std::get<3>(queue_.begin()->first);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -99,6 +99,18 @@
 
 } // namespace detail
 
+namespace {
+
+admission_options gate_options(const sidecar_settings& settings)
+{
+    admission_options options = settings.admission;
+    // The other half is for the connection to the upstream and for a loop that is late.
+    options.leaving_window = settings.drain_bound / 2;
+    return options;
+}
+
+} // namespace
+
 sidecar::impl::impl(event_loop& main_loop, platform& platform_driver, metrics& registry,
                     sidecar_settings initial_settings, sidecar_dialect platform_dialect,
                     random_source random_engine)
@@ -120,7 +132,7 @@
                      log.change("departure_row_failed",
                                 {{"action", action}, {"error", std::string(status.message())}});
                  }),
-      gate(settings.admission), link(settings.link_bytes_per_second),
+      gate(gate_options(settings)), link(settings.link_bytes_per_second),
       bodies(settings.memory_bytes / body_memory_divisor),
       client(loop, client_connections_per_host, bodies), incarnation(random())
 {
--- a/test/admission-test.cpp
+++ b/test/admission-test.cpp
@@ -127,7 +127,7 @@
     EXPECT_EQ(admission_queue.load(start + seconds(10)).slots, 10U);
 }
 
-TEST(admission, draining_upstream_refuses_new_calls_and_finishes_queued_ones)
+TEST(admission, draining_upstream_refuses_new_calls_and_starts_queued_ones_for_a_short_time)
 {
     admission admission_queue(options_without_ramp());
     admission_queue.set_upstream(upstream_state::ready, 1, start);
@@ -144,6 +144,62 @@
     EXPECT_TRUE(admission_queue.idle());
 }
 
+// Promise: an upstream that leaves gets no request later than a bound after its leaving. Guards
+// against queued calls that start when a slot of a slow upstream becomes free long after it.
+TEST(admission, queued_calls_do_not_start_past_the_window_of_a_leaving_upstream)
+{
+    const admission_options options = options_without_ramp();
+    admission admission_queue(options);
+    admission_queue.set_upstream(upstream_state::ready, 1, start);
+    admission_queue.offer(request_of(1, 5, seconds(10)), start);
+    admission_queue.offer(request_of(2, 5, seconds(10)), start);
+    admission_queue.offer(request_of(3, 5, seconds(10)), start);
+    admission_queue.set_upstream(upstream_state::draining, 1, start);
+    const time_point end = start + options.leaving_window;
+    EXPECT_EQ(admission_queue.finish(1, true, end - milliseconds(1)).run,
+              std::vector<std::uint64_t>({2}));
+    // By whichever call comes first: the end of a running call or the periodic check.
+    const admission_actions late = admission_queue.finish(2, true, end);
+    EXPECT_TRUE(late.run.empty());
+    ASSERT_EQ(late.refused.size(), 1U);
+    EXPECT_EQ(late.refused[0].reason, refusal_reason::draining);
+    EXPECT_TRUE(admission_queue.idle());
+}
+
+// Guards against a call that waits although it cannot start before the window ends.
+TEST(admission, queued_calls_that_cannot_start_in_the_window_are_refused_at_the_leaving)
+{
+    admission admission_queue(options_without_ramp());
+    admission_queue.set_upstream(upstream_state::ready, 1, start);
+    const time_point now = complete_one_call(admission_queue, milliseconds(800));
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        admission_queue.offer({id, 5, now + seconds(100), 0}, now);
+    }
+    const admission_actions leaving =
+        admission_queue.set_upstream(upstream_state::draining, 1, now);
+    std::vector<std::uint64_t> refused;
+    for (const admission_refusal& each : leaving.refused) {
+        EXPECT_EQ(each.reason, refusal_reason::draining);
+        refused.push_back(each.id);
+    }
+    EXPECT_EQ(refused, std::vector<std::uint64_t>({3, 4}));
+    const admission_actions late = admission_queue.expire(now + seconds(1));
+    ASSERT_EQ(late.refused.size(), 1U);
+    EXPECT_EQ(late.refused[0].id, 2U);
+}
+
+// A window of an earlier leaving does not apply to the next process of the upstream.
+TEST(admission, next_process_of_an_upstream_that_left_gets_calls)
+{
+    admission admission_queue(options_without_ramp());
+    admission_queue.set_upstream(upstream_state::ready, 1, start);
+    admission_queue.set_upstream(upstream_state::draining, 1, start);
+    const time_point later = start + seconds(5);
+    admission_queue.set_upstream(upstream_state::ready, 1, later);
+    EXPECT_EQ(admission_queue.offer({1, 5, later + seconds(1), 0}, later).run,
+              std::vector<std::uint64_t>({1}));
+}
+
 TEST(admission, queued_calls_are_refused_when_the_upstream_is_gone)
 {
     admission admission_queue(options_without_ramp());
