sidecar: after a start, ask the upstream before a heartbeat opens the gate

Cause: the departure was in the memory of the killed process and in a row that could not be written; a process that starts trusts the first heartbeat. Change: until a health check names the instance or three of its heartbeats have arrived, a node that has started keeps its gate closed. Why it works: the upstream itself is asked after the restart, so after every earlier acknowledgement; a leaving upstream fails the check and sends no more heartbeats.

--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -60,7 +60,8 @@
     std::function<caller_context(const http_request&)> read_request;
     std::function<void(const upstream_request_metadata&, http_request&)> write_upstream_request;
     std::function<upstream_response_metadata(const http_response&)> read_upstream_response;
-    /// Returns the instance that answered a health check, or nothing when it is not ready.
+    /// Returns the instance that answered a health check, or nothing when it is not ready. Without
+    /// a function there are no health checks, and the first heartbeat of an upstream is trusted.
     std::function<std::optional<std::string>(const http_response&)> read_health;
     std::string configuration_prefix; ///< Key prefix of the operator's rows.
     std::string configuration_key;    ///< Key of the newest configuration.
--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -48,8 +48,17 @@
 /// incarnation, and heartbeats with a sequence number that is not higher than the last one, are
 /// ignored. An incarnation that is draining or deregistered is not opened again, whatever the order
 /// in which its messages arrive.
+///
+/// A process of the node that has just started does not know what an earlier one acknowledged, and
+/// the first heartbeat may have been sent before the upstream left. With `confirm_first` it opens
+/// nothing until the upstream itself says in a health check that it does not leave, or until
+/// `confirming_heartbeats` of one incarnation have arrived, as one that has left sends no more.
 class upstream_lifecycle {
 public:
+    static constexpr std::uint32_t confirming_heartbeats = 3;
+
+    explicit upstream_lifecycle(bool confirm_first = false) : confirmed_(!confirm_first) {}
+
     /// Applies a heartbeat.
     lifecycle_change receive(const upstream_heartbeat& heartbeat);
 
@@ -71,7 +80,8 @@
     /// heartbeat opens it again.
     lifecycle_change mark_unreachable();
 
-    /// Applies a successful health check of an upstream that has not sent a heartbeat yet.
+    /// Applies a successful health check, which opens an upstream that has not sent a heartbeat yet
+    /// and confirms one that has.
     lifecycle_change health_check_passed(const std::string& instance, std::uint32_t slots);
 
     const std::string& instance() const { return instance_; }
@@ -80,6 +90,9 @@
     upstream_state state() const { return state_; }
     bool heartbeat_received() const { return heartbeat_received_; }
 
+    /// Returns whether a health check could open the gate or let a heartbeat open it.
+    bool awaits_confirmation() const { return !confirmed_ && !left_service_; }
+
     /// Returns how many incarnations were replaced by a later one.
     std::uint64_t replacements() const { return replacements_; }
 
@@ -99,7 +112,10 @@
     std::uint32_t slots_ = 0;
     upstream_state state_ = upstream_state::gone;
     bool heartbeat_received_ = false;
-    bool left_service_ = false; ///< This incarnation is draining or deregistered.
+    bool confirmed_; ///< An incarnation was found not to leave since this process started.
+    std::uint32_t unconfirmed_heartbeats_ = 0; ///< Of this incarnation.
+    std::string healthy_instance_;             ///< Of the last health check that passed.
+    bool left_service_ = false;                ///< This incarnation is draining or deregistered.
     /// Left before this process of the node got a heartbeat of it.
     std::optional<upstream_departure> departed_;
     std::uint64_t replacements_ = 0;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -133,6 +133,7 @@
                                 {{"action", action}, {"error", std::string(status.message())}});
                  }),
       gate(gate_options(settings)), link(settings.link_bytes_per_second),
+      upstream(static_cast<bool>(dialect.read_health)),
       bodies(settings.memory_bytes / body_memory_divisor),
       client(loop, client_connections_per_host, bodies), incarnation(random())
 {
@@ -513,6 +514,7 @@
     impl_->end_replaced_upstream(replacements_before);
     impl_->apply(change, "heartbeat");
     impl_->record_departure();
+    impl_->confirm_upstream();
     if (change == lifecycle_change::none && impl_->upstream.slots() != slots_before) {
         impl_->update_gate(impl_->upstream.state());
     }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -131,6 +131,9 @@
     void log_failed_fetch(const node_id& node, bool connected, const std::string& error);
     void update_reader_role(time_point now);
 
+    /// Asks an upstream whose heartbeat alone does not open the gate whether it leaves.
+    void confirm_upstream();
+    void schedule_probe(std::chrono::milliseconds delay);
     void probe_upstream();
     void apply(lifecycle_change change, std::string_view cause);
     /// Applies the end of the upstream if another process has replaced it since the given count.
@@ -195,7 +198,8 @@
     failure_rate failures;            ///< Failure rate of the upstream on this host.
     time_point upstream_responded_at; ///< The last response of the upstream on this host.
     bool probing_upstream = false;
-    time_point gate_closed; ///< When the gate last closed.
+    bool probing_health = false; ///< A health check is in flight.
+    time_point gate_closed;      ///< When the gate last closed.
 
     body_memory bodies; ///< Of all responses that the node receives.
     http_client client; ///< Connects to other nodes and to the upstream.
--- a/src/sidecar_upstream.cpp
+++ b/src/sidecar_upstream.cpp
@@ -13,8 +13,8 @@
 
 using std::chrono::milliseconds;
 
-// Delay of the first health check of an upstream and time between further ones. They end with the
-// first heartbeat; the upstream sends one every 1.5 s.
+// Delay of the first health check of an upstream and time between further ones. They end when one
+// has passed or the heartbeats have confirmed the upstream, which take 3 s.
 constexpr milliseconds first_probe_delay{20};
 constexpr milliseconds probe_period{500};
 constexpr milliseconds probe_timeout{400};
@@ -40,11 +40,30 @@
                        {{"instance", departure->instance}, {"started_at", departure->started_at}});
             apply(upstream.restore(*departure), "departure");
         }
-        // Not before: a health check may pass although the upstream has left.
-        probe_timer = loop.after(first_probe_delay, [this](time_point) { probe_upstream(); });
+        // Without a heartbeat not before, as a health check may pass although the upstream has
+        // left.
+        schedule_probe(first_probe_delay);
     });
 }
 
+void sidecar::impl::confirm_upstream()
+{
+    if (!upstream.heartbeat_received() || !upstream.awaits_confirmation()) {
+        return;
+    }
+    log.change("upstream_unconfirmed",
+               {{"instance", upstream.instance()}, {"started_at", upstream.started_at()}});
+    schedule_probe(milliseconds(0));
+}
+
+void sidecar::impl::schedule_probe(milliseconds delay)
+{
+    if (!dialect.read_health || probing_health) {
+        return;
+    }
+    probe_timer = loop.after(delay, [this](time_point) { probe_upstream(); });
+}
+
 void sidecar::impl::record_departure()
 {
     const std::optional<upstream_departure> departure = upstream.departure();
@@ -55,9 +74,11 @@
 
 void sidecar::impl::probe_upstream()
 {
-    if (upstream.heartbeat_received() || upstream.state() == upstream_state::ready) {
+    if (upstream.heartbeat_received() ? !upstream.awaits_confirmation()
+                                      : upstream.state() == upstream_state::ready) {
         return;
     }
+    probing_health = true;
     http_call call;
     call.url = "http://" + settings.upstream_address + dialect.health_path;
     call.timeout = probe_timeout;
@@ -67,6 +88,7 @@
         if (!self) {
             return;
         }
+        self->probing_health = false;
         std::optional<std::string> instance;
         if (result.outcome == http_outcome::answered) {
             instance = self->dialect.read_health(result.response);
@@ -74,10 +96,8 @@
         if (instance) {
             self->apply(self->upstream.health_check_passed(*instance, self->settings.default_slots),
                         "health_check");
-            return;
         }
-        self->probe_timer = self->loop.after(
-            probe_period, [raw = self.get()](time_point) { raw->probe_upstream(); });
+        self->schedule_probe(probe_period);
     });
 }
 
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -39,6 +39,8 @@
     instance_ = instance;
     started_at_ = started_at;
     sequence_ = 0;
+    unconfirmed_heartbeats_ = 0;
+    confirmed_ = confirmed_ || (!left_service_ && healthy_instance_ == instance);
 }
 
 lifecycle_change upstream_lifecycle::receive(const upstream_heartbeat& heartbeat)
@@ -56,7 +58,14 @@
     sequence_ = heartbeat.sequence;
     slots_ = heartbeat.slots;
     left_service_ = left_service_ || heartbeat.draining;
-    return transition_to(left_service_ ? upstream_state::draining : upstream_state::ready);
+    if (left_service_) {
+        return transition_to(upstream_state::draining);
+    }
+    if (!confirmed_ && ++unconfirmed_heartbeats_ < confirming_heartbeats) {
+        return transition_to(upstream_state::gone);
+    }
+    confirmed_ = true;
+    return transition_to(upstream_state::ready);
 }
 
 lifecycle_change upstream_lifecycle::deregister(const std::string& instance,
@@ -126,9 +135,17 @@
 lifecycle_change upstream_lifecycle::health_check_passed(const std::string& instance,
                                                          std::uint32_t slots)
 {
-    if (heartbeat_received_ || instance.empty() || (departed_ && departed_->instance == instance)) {
+    if (instance.empty() || (departed_ && departed_->instance == instance)) {
         return lifecycle_change::none;
     }
+    healthy_instance_ = instance;
+    if (heartbeat_received_) {
+        if (!awaits_confirmation() || instance != instance_) {
+            return lifecycle_change::none;
+        }
+        confirmed_ = true;
+        return transition_to(upstream_state::ready);
+    }
     instance_ = instance;
     slots_ = slots;
     return transition_to(upstream_state::ready);
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -168,6 +168,51 @@
     }
 }
 
+// Promise: an acknowledged leaving holds until the upstream is gone. Guards against requests to an
+// upstream whose node was killed while the platform was down, so that the leaving was never stored,
+// and whose late heartbeat reaches the next process of the node.
+TEST_F(sidecar_upstream, leaving_acknowledged_without_the_platform_outlasts_a_kill)
+{
+    std::atomic<bool> leaving{false};
+    adjust_dialect = [&leaving](sidecar_dialect& dialect) {
+        dialect.read_health = [&leaving](const http_response&) {
+            return leaving ? std::nullopt : std::optional<std::string>("i-1");
+        };
+    };
+    start(first, "a", "rounds");
+    start(second, "b", "orders"); // From which the next process gets the configuration.
+    configure("1 1000 idempotent rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    ASSERT_TRUE(eventually_ready(second));
+    send_heartbeat(first);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    const auto set_platform_down = [this](bool down) {
+        thread.call([this, down] {
+            platform_faults faults;
+            faults.down = down;
+            store.set_faults(faults);
+        });
+    };
+    set_platform_down(true);
+    leaving = true;
+    thread.call([this] {
+        first.node->deregister_upstream("i-1", milliseconds(0));
+        first.node.reset();
+    });
+    set_platform_down(false);
+    const std::unique_ptr<http_server> upstream = std::move(first.upstream);
+    start(first, "a", "rounds", upstream->address());
+    ASSERT_TRUE(eventually_ready(first));
+    const int before = first.request_count;
+    send_heartbeat(first, "i-1", false, 2);
+    for (int id = 0; id < 20; ++id) {
+        EXPECT_EQ(send(first, std::to_string(id)).response.status, 503);
+    }
+    EXPECT_EQ(first.request_count, before);
+    leaving = false;
+    EXPECT_TRUE(eventually_responds_with(first, 200)); // Of an upstream that does not leave.
+}
+
 // Guards against a leaving that is heard only from responses that ran.
 TEST_F(sidecar_upstream, leaving_that_a_refusal_announces_closes_the_gate)
 {
--- a/test/sidecar_fixture.h
+++ b/test/sidecar_fixture.h
@@ -80,7 +80,6 @@
         answer.leaving = response.headers.contains("Leaving");
         return answer;
     };
-    dialect.read_health = [](const http_response&) { return std::optional<std::string>(); };
     return dialect;
 }
 
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -233,4 +233,67 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
+// Promise: an acknowledged leaving holds although the node that acknowledged it was killed. Guards
+// against a late heartbeat that opens the gate of a node that has just started.
+TEST(upstream_lifecycle, late_heartbeat_after_a_restart_opens_nothing)
+{
+    upstream_lifecycle upstream(true);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 7)), lifecycle_change::none);
+    EXPECT_TRUE(upstream.awaits_confirmation());
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 6)), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 8)), lifecycle_change::none);
+    EXPECT_NE(upstream.state(), upstream_state::ready);
+}
+
+TEST(upstream_lifecycle, health_check_confirms_the_first_heartbeat)
+{
+    upstream_lifecycle upstream(true);
+    upstream.receive(heartbeat("a", 10, 1));
+    EXPECT_EQ(upstream.health_check_passed("b", 9), lifecycle_change::none);
+    EXPECT_EQ(upstream.health_check_passed("a", 9), lifecycle_change::opened);
+    EXPECT_FALSE(upstream.awaits_confirmation());
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::none); // Still ready.
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_EQ(upstream.instance(), "b");
+}
+
+TEST(upstream_lifecycle, health_check_before_the_first_heartbeat_confirms_it)
+{
+    upstream_lifecycle upstream(true);
+    EXPECT_EQ(upstream.health_check_passed("a", 9), lifecycle_change::opened);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 1)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_FALSE(upstream.awaits_confirmation());
+}
+
+// Guards against a late heartbeat of a process that left, which takes the place of the one that a
+// health check has found at its address.
+TEST(upstream_lifecycle, late_heartbeat_of_another_instance_than_the_healthy_one_is_not_trusted)
+{
+    upstream_lifecycle upstream(true);
+    upstream.health_check_passed("b", 9);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 7)), lifecycle_change::closed);
+    EXPECT_EQ(upstream.receive(heartbeat("b", 20, 1)), lifecycle_change::opened);
+}
+
+// Guards against an upstream whose health checks fail although it serves, and which gets no
+// requests for as long as the process of the node lives.
+TEST(upstream_lifecycle, heartbeats_that_go_on_confirm_an_upstream)
+{
+    upstream_lifecycle upstream(true);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 1)), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 2)), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 3)), lifecycle_change::opened);
+}
+
+TEST(upstream_lifecycle, confirmation_does_not_open_a_leaving_upstream)
+{
+    upstream_lifecycle upstream(true);
+    upstream.receive(heartbeat("a", 10, 1));
+    upstream.deregister("a", milliseconds(10));
+    EXPECT_EQ(upstream.health_check_passed("a", 9), lifecycle_change::none);
+    EXPECT_EQ(upstream.receive(heartbeat("a", 10, 3)), lifecycle_change::none);
+    EXPECT_EQ(upstream.state(), upstream_state::draining);
+}
+
 } // namespace agatespread
