sidecar: a stopping node passes on no late requests

Cause: the gate of a stopping node takes requests of other nodes until its process ends, which a node sends that has not heard of the stop; and a caller's request whose last byte arrives late in the grace is passed on. Change: both are refused as not run, the first from the start of the stop, the second after the delay of the stop. Tests: sidecar_upstream.stopping_node_passes_no_request_of_another_node_on and sidecar_upstream.request_read_late_in_a_stop_is_refused_and_not_passed_on; without the change the first request runs and the second gets 200.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -97,6 +97,10 @@
             self->cancel();
         }
     });
+    if (owner_->refuses_callers(started_)) {
+        refuse("stopping", stopping_retry_after);
+        return;
+    }
     proceed();
 }
 
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -46,6 +46,12 @@
         respond(call_outcome::unavailable, {}, "other_service", unavailable_retry_after);
         return;
     }
+    // Load pattern: a node whose reports are late or lost is still chosen while it stops. What it
+    // accepted now would be cut off when the process ends.
+    if (owner_->stopping) {
+        respond(call_outcome::draining, {}, "stopping", unavailable_retry_after);
+        return;
+    }
     if (metadata_.announced) {
         owner_->apply_peer_announcement(*metadata_.announced);
     }
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -452,6 +452,11 @@
     }
 }
 
+bool sidecar::impl::refuses_callers(time_point now) const
+{
+    return stopping && now - shutdown_started >= settings.shutdown_delay;
+}
+
 void sidecar::impl::check_shutdown(time_point now, const std::function<void()>& done)
 {
     // A request that arrives while its idle connection is being closed has not been read, and the
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -155,6 +155,8 @@
 
     void serve_caller(const std::shared_ptr<http_exchange>& exchange);
     void serve_peer(const std::shared_ptr<http_exchange>& exchange);
+    /// Returns whether a request that is read now comes too late in a shutdown to be passed on.
+    bool refuses_callers(time_point now) const;
     void check_shutdown(time_point now, const std::function<void()>& done);
     void abort_all_requests();
     void end_running_requests();
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -1,4 +1,5 @@
 #include "raw_upstream.h"
+#include "sidecar_call.h"
 #include "sidecar_fixture.h"
 
 #include <thread>
@@ -361,4 +362,69 @@
     thread.call([&responses] { responses.clear(); });
 }
 
+// Promise: a planned stop cuts off no request. Guards against a request of a node that has not
+// heard of the stop, which is passed on to the upstream and cut off when the process ends.
+TEST_F(sidecar_upstream, stopping_node_passes_no_request_of_another_node_on)
+{
+    start(first, "a", "rounds");
+    configure("1 1000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(first);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    const int before = first.request_count;
+    thread.call([this] { first.node->shut_down([] {}); });
+    detail::forwarded_request_metadata metadata;
+    metadata.caller_service = "orders";
+    metadata.service = "rounds";
+    metadata.rule = "all";
+    metadata.time_left = std::chrono::seconds(1);
+    http_call call;
+    call.url = "http://" + thread.call([this] { return first.node->call_address(); }) + "/x/1";
+    call.request.method = "POST";
+    call.request.headers.set(id_header, "late");
+    detail::write_forwarded_request(metadata, call.request.headers);
+    std::promise<http_result> promise;
+    thread.loop().post([&] {
+        client.send(std::move(call),
+                    [&promise](http_result result) { promise.set_value(std::move(result)); });
+    });
+    const http_result result = promise.get_future().get();
+    const std::optional<detail::forwarded_response_metadata> answer =
+        detail::read_forwarded_response(result.response.headers);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->outcome, call_outcome::draining); // The other node chooses another upstream.
+    EXPECT_EQ(first.request_count, before);
+}
+
+// The same for a request whose last bytes arrive late in the stop.
+TEST_F(sidecar_upstream, request_read_late_in_a_stop_is_refused_and_not_passed_on)
+{
+    constexpr milliseconds delay{100};
+    adjust_settings = [delay](sidecar_settings& settings) { settings.shutdown_delay = delay; };
+    start(first, "a", "orders");
+    start(second, "b", "rounds");
+    configure("1 1000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(second);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    const int before = second.request_count;
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    const std::string address = thread.call([this] { return first.node->caller_address(); });
+    const int port = std::stoi(address.substr(address.find(':') + 1));
+    caller.connect({asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)});
+    asio::write(caller, asio::buffer(std::string("POST /x/1 HTTP/1.1\r\nHost: mesh.example\r\n")));
+    std::promise<void> past_delay;
+    subscription timer;
+    thread.call([&] {
+        first.node->shut_down([] {});
+        timer = thread.loop().after(2 * delay, [&](time_point) { past_delay.set_value(); });
+    });
+    past_delay.get_future().wait();
+    asio::write(caller, asio::buffer(std::string("Id: late\r\nContent-Length: 0\r\n\r\n")));
+    EXPECT_EQ(read_head(caller).substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(second.request_count, before);
+    thread.call([&timer] { timer.cancel(); });
+}
+
 } // namespace agatespread::test
