--- a/test/body_memory-test.cpp
+++ b/test/body_memory-test.cpp
@@ -76,9 +76,11 @@
 TEST(body_memory, pinned_reservations_may_end_on_other_threads)
 {
     constexpr int rounds = 2000;
+    constexpr int thread_count = 4;
     body_memory memory;
     std::vector<std::thread> threads;
-    for (int thread = 0; thread < 4; ++thread) {
+    threads.reserve(thread_count);
+    for (int thread = 0; thread < thread_count; ++thread) {
         threads.emplace_back([&memory] {
             for (int round = 0; round < rounds; ++round) {
                 body_memory::reservation body = memory.reserve([] {});
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -142,6 +142,7 @@
     heartbeat.slots = 10;
     thread.call([&] { first.node->receive_heartbeat(heartbeat); });
     std::vector<std::thread> callers;
+    callers.reserve(endless_responses);
     std::atomic<int> failed{0};
     for (int caller = 0; caller < endless_responses; ++caller) {
         callers.emplace_back([this, &failed, caller] {
