sidecar: log connections that the node closes with something left on them

Change: http_server reports such closes with their cause; event connection_cut, counter agatespread_connections_cut_total; 'stopped' says how long the stop took and how many connections were left. Measured: no change of logic.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -104,6 +104,14 @@
     std::chrono::milliseconds idle_timeout = std::chrono::seconds(60);
 };
 
+/// A connection that the server closed although something was left on it.
+struct connection_cut {
+    std::string_view cause;       ///< Such as "idle", "response", "read_timeout" or "closed".
+    std::size_t unanswered = 0;   ///< Requests that were read and get no response.
+    std::size_t unread_bytes = 0; ///< Received by the system and not read yet.
+    bool writing = false;         ///< A response was being written.
+};
+
 /// An HTTP/1.1 server on one event loop.
 ///
 /// Requests with conflicting lengths are refused with 400.
@@ -137,6 +145,9 @@
     /// Returns the number of open connections.
     std::size_t connections() const;
 
+    /// Calls `call` for each connection that the server cuts from now on.
+    void on_cut(std::function<void(const connection_cut&)> call);
+
     struct impl;
     explicit http_server(std::unique_ptr<impl> state);
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <fmt/format.h>
 #include <restinio/all.hpp>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -42,6 +43,7 @@
     asio::io_context& context;
     http_limits limits;
     std::shared_ptr<const http_handler> handler;
+    std::function<void(const connection_cut&)> on_cut;
     std::atomic<bool> open{true};
     bool accepting = true;
     std::weak_ptr<void> acceptor; ///< RESTinio's server, which counts the connections.
@@ -77,12 +79,13 @@
     bool idle() const { return pending_.empty() && message_bytes_ == 0 && !writing_; }
     time_point last_activity() const { return last_activity_; }
     bool closed_by_client() const;
-    void abort();
+    void abort(std::string_view cause);
     const std::shared_ptr<server_state>& server() const { return server_; }
 
 private:
     void write(const pending_response& pending, http_response response);
     void send_error(int status);
+    void report_cut(std::string_view cause) const noexcept;
     void detach() noexcept;
 
     std::shared_ptr<server_state> server_;
@@ -93,6 +96,7 @@
     std::size_t message_bytes_ = 0; ///< Of the request being read; 0 if there is none.
     bool writing_ = false;
     bool drain_ = false;
+    bool closing_ = false; ///< A response that closes the connection was written.
     int error_status_ = 0; ///< Status to send before closing; overrides the parser's.
     time_point message_start_;
     time_point last_activity_ = std::chrono::steady_clock::now();
@@ -333,7 +337,7 @@
         }
     }
     for (const std::shared_ptr<server_connection>& connection : all) {
-        connection->abort();
+        connection->abort("idle");
     }
 }
 
@@ -345,7 +349,7 @@
     connections.clear();
     for (const std::pair<const restinio::connection_id_t, std::shared_ptr<server_connection>>&
              entry : all) {
-        entry.second->abort();
+        entry.second->abort("closed");
     }
     handler = nullptr;
 }
@@ -406,10 +410,25 @@
         send_error(error_status_ != 0 ? error_status_ : status);
         drain_ = true;
     }
+    if (closing_) {
+        report_cut("response");
+    }
     detach();
     return std::exchange(drain_, false);
 }
 
+void server_connection::report_cut(std::string_view cause) const noexcept
+{
+    int unread = 0;
+    if (socket_ == nullptr || !server_->on_cut ||
+        ::ioctl(socket_->native_handle(), FIONREAD, &unread) != 0) {
+        return;
+    }
+    if (unread > 0 || !pending_.empty() || writing_) {
+        server_->on_cut({cause, pending_.size(), static_cast<std::size_t>(unread), writing_});
+    }
+}
+
 void server_connection::send_error(int status)
 {
     http_response response = error_response(status, "the request cannot be read");
@@ -458,6 +477,7 @@
     // Up to this size, one copy is cheaper than a second buffer in the system call.
     constexpr std::size_t max_copied = 16U << 10U;
     last_activity_ = std::chrono::steady_clock::now();
+    closing_ = closing_ || !pending.info.keep_alive;
     std::string head = response_head(response, pending.info);
     restinio::writable_items_container_t parts;
     const std::shared_ptr<body_memory::reservation> memory = std::move(response.memory);
@@ -492,13 +512,14 @@
     error_status_ = read_timed_out ? 408 : error_status_;
     const bool idle = pending_.empty() && now - last_activity_ >= limits.idle_timeout;
     if (read_timed_out || idle) {
-        abort();
+        abort(read_timed_out ? "read_timeout" : "idle");
     }
 }
 
-void server_connection::abort()
+void server_connection::abort(std::string_view cause)
 {
     if (socket_ != nullptr) {
+        report_cut(cause);
         // Makes the pending read or write fail, upon which RESTinio closes the connection.
         asio::error_code ignored;
         socket_->lowest_layer().shutdown(error_status_ != 0
@@ -658,6 +679,11 @@
     return impl_->state->connections.size();
 }
 
+void http_server::on_cut(std::function<void(const connection_cut&)> call)
+{
+    impl_->state->on_cut = std::move(call);
+}
+
 void http_server::stop_accepting()
 {
     impl_->state->accepting = false;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -93,7 +93,8 @@
       peer_connections(data.gauge_of("agatespread_call_connections")),
       body_bytes(data.gauge_of("agatespread_body_bytes")),
       body_peak_bytes(data.gauge_of("agatespread_body_peak_bytes")),
-      body_denials(data.gauge_of("agatespread_body_denials"))
+      body_denials(data.gauge_of("agatespread_body_denials")),
+      connections_cut(data.counter_of("agatespread_connections_cut_total"))
 {
 }
 
@@ -166,6 +167,8 @@
         return calls.status();
     }
     call_listener = *std::move(calls);
+    caller_listener->on_cut([this](const connection_cut& cut) { log_cut("callers", cut); });
+    call_listener->on_cut([this](const connection_cut& cut) { log_cut("nodes", cut); });
     absl::StatusOr<std::unique_ptr<datagram_socket>> socket =
         datagram_socket::open(loop, settings.report_address, [weak](std::string_view bytes) {
             if (const std::shared_ptr<impl> live = weak.lock()) {
@@ -269,6 +272,18 @@
     }
 }
 
+void sidecar::impl::log_cut(std::string_view listener, const connection_cut& cut)
+{
+    counters.connections_cut.add();
+    log.request("connection_cut", {},
+                {{"listener", listener},
+                 {"cause", cut.cause},
+                 {"unanswered", static_cast<std::uint64_t>(cut.unanswered)},
+                 {"unread_bytes", static_cast<std::uint64_t>(cut.unread_bytes)},
+                 {"writing", cut.writing ? 1 : 0}},
+                loop.now());
+}
+
 void sidecar::impl::send_report()
 {
     send_report(true);
@@ -477,6 +492,8 @@
     log.change("stopped",
                {{"callers_in_flight", static_cast<std::uint64_t>(caller_requests.size())},
                 {"gate_in_flight", static_cast<std::uint64_t>(gate_requests.size())},
+                {"caller_connections", static_cast<std::uint64_t>(caller_listener->connections())},
+                {"took", std::chrono::duration_cast<milliseconds>(now - shutdown_started)},
                 {"log_lines_dropped", log.dropped()}});
     done();
 }
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -78,6 +78,7 @@
     gauge& body_bytes;          ///< Held in the bodies of responses.
     gauge& body_peak_bytes;
     gauge& body_denials; ///< Bodies that were discarded or refused for lack of memory.
+    counter& connections_cut;
 };
 
 } // namespace detail
@@ -108,6 +109,7 @@
     void share_crash_state(time_point now);
     void close_idle_connections();
     void log_full_listener();
+    void log_cut(std::string_view listener, const connection_cut& cut);
     reported_load own_load() const;
     std::string next_report(std::vector<crash_report> crashes);
     void receive_report(std::string_view bytes);
