--- a/tools/sidecar_judge.py
+++ b/tools/sidecar_judge.py
@@ -11,14 +11,20 @@
 PROMISES = (408, 421, 429, 503)
 
 
-def limit_of(exchange):
-    """When the caller's deadline or the route's timeout is reached."""
-    return exchange.sent + min(exchange.cls.deadline, exchange.cls.timeout) - CLOCK_SLACK_S
+def limit_of(exchange, deployment):
+    """When the caller's deadline or the timeout of a version that may be in force is reached."""
+    factors = [factor for number, (at, factor) in enumerate(deployment.versions)
+               if at <= exchange.sent and not any(
+                   later + mesh.CONFIG_APPLY_S < exchange.sent
+                   for later, _ in deployment.versions[number + 1:])]
+    timeout = exchange.cls.timeout * min(factors)
+    return exchange.sent + min(exchange.cls.deadline, timeout) - CLOCK_SLACK_S
 
 
-def cut_by_node(exchange):
+def cut_by_node(exchange, deployment):
     return (exchange.closed is not None and exchange.closed_by.startswith("node")
-            and exchange.last_byte is not None and exchange.closed < limit_of(exchange))
+            and exchange.last_byte is not None
+            and exchange.closed < limit_of(exchange, deployment))
 
 
 def upstream_broke_off(exchange):
@@ -44,7 +50,7 @@
 
 def lost_on_kept_connection(record, deployment):
     return [each for each in record.exchanges.values()
-            if each.kept and cut_by_node(each) and each.arrivals
+            if each.kept and cut_by_node(each, deployment) and each.arrivals
             and all(upstream.sound for _, upstream in each.arrivals)
             and not upstream_broke_off(each) and in_touch(record, each.node, each.closed)]
 
@@ -67,7 +73,7 @@
 def lost_around_sigterm(record, deployment):
     found = []
     for each in record.exchanges.values():
-        if not cut_by_node(each) or upstream_broke_off(each) or not passed_on_or_slack_over(each):
+        if not cut_by_node(each, deployment) or upstream_broke_off(each) or not passed_on_or_slack_over(each):
             continue
         for term, node in signals(record, 15):
             if (node == each.node and term <= each.closed <= term + mesh.GRACE_S + 1
@@ -83,7 +89,7 @@
     for each in record.exchanges.values():
         if each.answered is None or each.signed or not each.ran() or upstream_broke_off(each):
             continue
-        if each.answered >= limit_of(each):
+        if each.answered >= limit_of(each, deployment):
             continue
         for term, node in signals(record, 15):
             if (node == each.node and term <= each.answered <= term + mesh.GRACE_S + 1
@@ -96,7 +102,7 @@
 
 def lost_around_sighup(record, deployment):
     return [each for each in record.exchanges.values()
-            if cut_by_node(each) and not upstream_broke_off(each) and passed_on_or_slack_over(each)
+            if cut_by_node(each, deployment) and not upstream_broke_off(each) and passed_on_or_slack_over(each)
             and not unplanned(record, each, each.closed)
             and not record.impaired({f"planned {each.node}"}, each.sent, each.closed)
             and any(node == each.node and hup <= each.closed
@@ -109,12 +115,12 @@
     windows = [(at, at + mesh.CONFIG_APPLY_S + 1) for at, _ in deployment.versions]
     inside, outside = [], 0
     for each in record.exchanges.values():
-        if (not cut_by_node(each) or upstream_broke_off(each)
+        if (not cut_by_node(each, deployment) or upstream_broke_off(each)
                 or not passed_on_or_slack_over(each) or unplanned(record, each, each.closed)
                 or record.impaired({f"planned {each.node}"}, each.sent, each.closed)):
             continue
         if any(start <= each.closed <= end for start, end in windows):
-            if each.closed - each.sent < 0.7 * min(each.cls.deadline, each.cls.timeout):
+            if each.closed - each.sent < 0.7 * (limit_of(each, deployment) - each.sent):
                 inside.append(each)
         else:
             outside += 1
--- a/tools/sidecar_mesh.py
+++ b/tools/sidecar_mesh.py
@@ -451,7 +451,7 @@
         self.upstreams = {}
         self.version = 1
         self.idle_timeout = 15.0
-        self.versions = []  # (time of the ack, version)
+        self.versions = []  # (time of the ack, factor of the routes' timeouts)
 
     async def start(self):
         await self.store.start()
@@ -493,7 +493,7 @@
         limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864,
                   "header_timeout": "3000ms", "idle_timeout": f"{int(self.idle_timeout * 1000)}ms"}
         self.store.put_config(stand_ins.config(self.version, rules, limits))
-        self.versions.append((self.record.now(), self.version))
+        self.versions.append((self.record.now(), timeout_factor))
 
     async def ready(self, machine, seconds):
         machine.address = {"ready": f"{machine.ip}:{PORTS['ready']}"}
