http_server: a response that closes no longer cuts off the requests behind it

Callers saw: of several requests sent on one connection without waiting, those behind a response with 'Connection: close' ended without a response although an upstream was at work on them or had run them; each response after the start of a stop closes, and so does each refusal. Cause: requests are handed on as they are read, while the close was decided for each response alone; RESTinio discards what is behind it. Class: a decision about a connection taken from one request. Change: only the response to the last request that was taken may close the connection, and no request is taken behind one that closes it.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -72,7 +72,8 @@
     void on_destroyed() noexcept override { detach(); }
 
     void request_complete();
-    void add(pending_response pending) { pending_.push_back(std::move(pending)); }
+    bool takes_requests() const { return !closing_ && !last_request_read_; }
+    void add(pending_response pending);
     void respond(restinio::request_id_t id, http_response response);
     void reject(const pending_response& pending, const request_rejection& rejection);
     void check_timeouts(time_point now);
@@ -93,11 +94,13 @@
     observed_socket* socket_ = nullptr;
     restinio::connection_id_t id_ = 0;
     std::vector<pending_response> pending_;
-    std::size_t message_bytes_ = 0; ///< Of the request being read; 0 if there is none.
+    restinio::request_id_t last_id_ = 0; ///< Of the last request that was taken.
+    std::size_t message_bytes_ = 0;      ///< Of the request being read; 0 if there is none.
     bool writing_ = false;
     bool drain_ = false;
-    bool closing_ = false; ///< A response that closes the connection was written.
-    int error_status_ = 0; ///< Status to send before closing; overrides the parser's.
+    bool closing_ = false;           ///< A response that closes the connection was written.
+    bool last_request_read_ = false; ///< The client announced that it sends no further request.
+    int error_status_ = 0;           ///< Status to send before closing; overrides the parser's.
     time_point message_start_;
     time_point last_activity_ = std::chrono::steady_clock::now();
 };
@@ -401,6 +404,13 @@
     message_bytes_ = 0;
 }
 
+void server_connection::add(pending_response pending)
+{
+    last_request_read_ = !pending.info.keep_alive;
+    last_id_ = pending.id;
+    pending_.push_back(std::move(pending));
+}
+
 bool server_connection::on_shutdown() noexcept
 {
     const int status = std::exchange(server_->parser_status, 0);
@@ -458,9 +468,12 @@
         return;
     }
     pending_response pending = std::move(*found);
+    // Responses are sent in the order of their requests; only the last one may end the connection.
+    const bool is_last = id == last_id_;
     pending_.erase(found);
-    pending.info.keep_alive = pending.info.keep_alive && server_->accepting &&
-                              !equal_ignoring_case(response.headers.get("Connection"), "close");
+    const bool close = !pending.info.keep_alive || !server_->accepting ||
+                       equal_ignoring_case(response.headers.get("Connection"), "close");
+    pending.info.keep_alive = !(close && is_last);
     write(pending, std::move(response));
 }
 
@@ -548,6 +561,11 @@
     if (!connection) {
         return restinio::request_rejected();
     }
+    if (!connection->takes_requests()) {
+        // It will not be answered, so it must not be handled either.
+        connection->request_complete();
+        return restinio::request_accepted();
+    }
     request_info info;
     info.is_head = source->header().method() == restinio::http_method_head();
     info.http_minor = source->header().http_minor();
--- a/tools/sidecar_callers.py
+++ b/tools/sidecar_callers.py
@@ -18,11 +18,11 @@
 class Caller:
     """Sends requests to the node of one machine until the run ends."""
 
-    def __init__(self, deployment, machine, number, rate, generator):
+    def __init__(self, deployment, machine, style, rate, generator):
         self.deployment = deployment
         self.record = deployment.record
         self.machine = machine
-        self.style = STYLES[number % len(STYLES)]
+        self.style = style
         self.rate = rate  # Requests per second.
         self.random = generator
         # Some callers go through a proxy, some ignore that the node is not ready, some do not
@@ -95,12 +95,14 @@
                 await self.send(exchange)
         except ConnectionError:
             pass  # The reads below find the same end of the connection.
+        pause = 0.0
         for exchange in exchanges:
             if self.writer is not None:
-                await self.receive(exchange)
+                pause = await self.receive(exchange)
             else:  # The response before it closed the connection, or the caller left.
                 self.end(exchange, "caller" if exchanges[0].closed_by == "caller" else "node fin")
         self.last_use = self.record.now()
+        await asyncio.sleep(pause)
 
     def head(self, exchange, fields):
         headers = {"Host": mesh.HOST, "X-Request-Id": exchange.id,
@@ -135,6 +137,7 @@
             self.writer.write(frame(body[start:start + step]))
 
     async def receive(self, exchange):
+        """Reads a response and returns how long the node asks the caller to wait, in seconds."""
         left = exchange.sent + exchange.cls.deadline - self.record.now()
         if self.style == "leaves":
             left = min(left, self.random.uniform(0.01, 0.4))
@@ -142,19 +145,19 @@
             head, body = await asyncio.wait_for(self.read_answer(), max(left, 0.001))
         except asyncio.TimeoutError:
             self.end(exchange, "caller")
-            return
+            return 0.0
         except ConnectionError:
             self.end(exchange, "node reset")
-            return
+            return 0.0
         except asyncio.IncompleteReadError as error:
             self.end(exchange, "node fin inside" if error.partial else "node fin")
-            return
+            return 0.0
         self.answered += 1
         exchange.answered = self.record.now()
         self.check(exchange, head, body)
         if head.get("connection").lower() == "close":
             self.drop()
-            await asyncio.sleep(min(float(head.get("retry-after", "0")), 1.0))
+        return min(float(head.get("retry-after", "0")), 1.0)
 
     def end(self, exchange, closed_by):
         exchange.closed = self.record.now()
