http_server: refusals of requests that arrived together all reach their caller

Callers saw: of several requests sent at once, the first refusal closed the connection, and the others, already received, ended without a response. Cause: a handler that responds at once decides on the close before the requests behind it have been parsed. Change: a response that ends the connection waits until they are, and a connection with unread bytes or a request in arrival is not ended by a response.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -32,6 +32,7 @@
     }
 
     bool on_loop() const { return context.get_executor().running_in_this_thread(); }
+    bool ends_connection(const http_response& response) const;
     std::shared_ptr<server_connection> find(restinio::connection_id_t id) const;
     void handle(http_request request, const request_info& info,
                 const std::shared_ptr<server_connection>& connection,
@@ -46,6 +47,7 @@
     std::function<void(const connection_cut&)> on_cut;
     std::atomic<bool> open{true};
     bool accepting = true;
+    bool handling = false;        ///< The handler is being called.
     std::weak_ptr<void> acceptor; ///< RESTinio's server, which counts the connections.
     int parser_status = 0;        ///< Set from a parser error until the close that follows.
     std::unordered_map<restinio::connection_id_t, std::shared_ptr<server_connection>> connections;
@@ -86,6 +88,7 @@
 private:
     void write(const pending_response& pending, http_response response);
     void send_error(int status);
+    std::size_t unread_bytes() const noexcept;
     void report_cut(std::string_view cause) const noexcept;
     void detach() noexcept;
 
@@ -136,7 +139,10 @@
         if (answered_.exchange(true) || !server_->open) {
             return;
         }
-        if (server_->on_loop()) {
+        // While a request is handled, those that arrived with it have not been parsed yet. A
+        // response that ends the connection waits until they are.
+        const bool wait = server_->handling && server_->ends_connection(response);
+        if (server_->on_loop() && !wait) {
             deliver(connection_, id_, std::move(response));
             return;
         }
@@ -288,6 +294,11 @@
     return found == connections.end() ? nullptr : found->second;
 }
 
+bool server_state::ends_connection(const http_response& response) const
+{
+    return !accepting || equal_ignoring_case(response.headers.get("Connection"), "close");
+}
+
 void server_state::handle(http_request request, const request_info& info,
                           const std::shared_ptr<server_connection>& connection,
                           restinio::request_id_t request_id,
@@ -307,6 +318,7 @@
     connection->add(std::move(pending));
     // The handler may destroy the server, and with it the server's reference to the handler.
     const std::shared_ptr<const http_handler> shared_handler = handler;
+    handling = true;
     // RESTinio would drop the connection if the handler's exception reached it.
     try {
         (*shared_handler)(exchange);
@@ -314,6 +326,7 @@
     catch (const std::exception& error) {
         exchange->respond(error_response(500, error.what()));
     }
+    handling = false;
 }
 
 void server_state::check_timeouts(time_point now)
@@ -427,15 +440,22 @@
     return std::exchange(drain_, false);
 }
 
+std::size_t server_connection::unread_bytes() const noexcept
+{
+    int bytes = 0;
+    const bool known =
+        socket_ != nullptr && ::ioctl(socket_->native_handle(), FIONREAD, &bytes) == 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void server_connection::report_cut(std::string_view cause) const noexcept
 {
-    int unread = 0;
-    if (socket_ == nullptr || !server_->on_cut ||
-        ::ioctl(socket_->native_handle(), FIONREAD, &unread) != 0) {
+    if (socket_ == nullptr || !server_->on_cut) {
         return;
     }
+    const std::size_t unread = unread_bytes();
     if (unread > 0 || !pending_.empty() || writing_) {
-        server_->on_cut({cause, pending_.size(), static_cast<std::size_t>(unread), writing_});
+        server_->on_cut({cause, pending_.size(), unread, writing_});
     }
 }
 
@@ -468,12 +488,11 @@
         return;
     }
     pending_response pending = std::move(*found);
-    // Responses are sent in the order of their requests; only the last one may end the connection.
-    const bool is_last = id == last_id_;
     pending_.erase(found);
-    const bool close = !pending.info.keep_alive || !server_->accepting ||
-                       equal_ignoring_case(response.headers.get("Connection"), "close");
-    pending.info.keep_alive = !(close && is_last);
+    // Responses are sent in the order of their requests; only the last one may end the connection.
+    const bool is_last = id == last_id_ && message_bytes_ == 0;
+    const bool close = server_->ends_connection(response) && is_last && unread_bytes() == 0;
+    pending.info.keep_alive = pending.info.keep_alive && !close;
     write(pending, std::move(response));
 }
 
--- a/test/http_close-test.cpp
+++ b/test/http_close-test.cpp
@@ -23,8 +23,8 @@
             server = http_server::listen(thread.loop(), "127.0.0.1:0", http_limits(),
                                          [this](const exchange_ptr& exchange) {
                                              held.push_back(exchange);
-                                             if (answer_at_once) {
-                                                 respond(held.size() - 1);
+                                             if (answer_at_once || close_each) {
+                                                 respond(held.size() - 1, close_each);
                                              }
                                          })
                          .value();
@@ -71,6 +71,7 @@
     std::vector<exchange_ptr> held;
     std::vector<connection_cut> cuts;
     bool answer_at_once = false;
+    bool close_each = false;
 };
 
 TEST_F(http_close, requests_sent_at_once_are_all_answered_when_the_server_stops)
@@ -102,6 +103,16 @@
     EXPECT_NE(raw.read_to_end().find("response 1"), std::string::npos);
 }
 
+TEST_F(http_close, requests_sent_at_once_are_all_refused_when_each_refusal_closes)
+{
+    close_each = true;
+    raw_connection raw(server->address());
+    raw.send(request + request + request);
+    const std::string all = raw.read_to_end();
+    EXPECT_EQ(count_of(all, "\r\n\r\nresponse "), 3U) << all;
+    EXPECT_EQ(count_of(all, "Connection: close"), 1U) << all;
+}
+
 TEST_F(http_close, request_behind_the_last_one_is_not_handled)
 {
     raw_connection raw(server->address());
