--- a/tools/sidecar_judge.py
+++ b/tools/sidecar_judge.py
@@ -4,6 +4,8 @@
 bound above zero breaks its rule only if there are more findings than the bound.
 """
 
+import signal
+
 import sidecar_mesh as mesh
 
 # The judge reads times from one process, whose own lateness is below this.
@@ -177,7 +179,9 @@
 
 
 def ended_by_itself(record, deployment):
-    return named(record.events, "ended")
+    """A signal before main() ends any program; without listeners, no request can be lost."""
+    return [(at, fields) for at, fields in named(record.events, "ended")
+            if fields["status"] != -signal.SIGHUP or fields["opened"]]
 
 
 def killed_after_grace(record, deployment):
--- a/tools/sidecar_mesh.py
+++ b/tools/sidecar_mesh.py
@@ -395,6 +395,8 @@
             "platform.address": f"{self.ip}:{PROXY_PORTS['store']}", "bounds": BOUNDS,
             "limits.max_fds": DESCRIPTORS, "limits.link_mbps": 1000.0}
         self.file = os.path.join(deployment.folder, f"{self.name}.yaml")
+        self.log_path = os.path.join(deployment.folder, f"{self.name}.log")
+        self.log_start = 0  # Offset of the first line of the present process.
         self.links = {
             "app": Link((self.ip, PROXY_PORTS["app"]), (self.ip, PORTS["app"])),
             "outbound": Link((self.ip, PROXY_PORTS["outbound"]), (self.ip, PORTS["outbound"])),
@@ -407,9 +409,16 @@
     def running(self):
         return self.process is not None and self.process.returncode is None
 
+    def has_opened_listeners(self):
+        """Whether the log of the present process says that its listeners are open."""
+        with open(self.log_path, encoding="utf-8") as log:
+            log.seek(self.log_start)
+            return " started " in log.read()
+
     async def start(self):
         stand_ins.Machine.render(self)
-        log = open(os.path.join(self.deployment.folder, f"{self.name}.log"), "ab")
+        log = open(self.log_path, "ab")
+        self.log_start = log.tell()
         self.process = await asyncio.create_subprocess_exec(
             *self.deployment.command, "--config", self.file, cwd=REPOSITORY, stdout=log,
             stderr=log, stdin=asyncio.subprocess.DEVNULL)
