http_server: an idle connection is not closed while a request waits in its receive buffer

Cause: shutdown in both directions does not discard what the kernel has received; the request is read afterwards and cannot be answered. Class: a decision on the state that was read, not on the state that has arrived. Change: a connection with unread bytes is not idle, neither for close_idle nor for the idle timeout.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -79,7 +79,7 @@
     void respond(restinio::request_id_t id, http_response response);
     void reject(const pending_response& pending, const request_rejection& rejection);
     void check_timeouts(time_point now);
-    bool idle() const { return pending_.empty() && message_bytes_ == 0 && !writing_; }
+    bool idle() const;
     time_point last_activity() const { return last_activity_; }
     bool closed_by_client() const;
     void abort(std::string_view cause);
@@ -348,7 +348,7 @@
     std::vector<std::shared_ptr<server_connection>> all;
     for (const std::pair<const restinio::connection_id_t, std::shared_ptr<server_connection>>&
              entry : connections) {
-        if (entry.second->idle() && entry.second->last_activity() <= cutoff) {
+        if (entry.second->last_activity() <= cutoff && entry.second->idle()) {
             all.push_back(entry.second);
         }
     }
@@ -390,6 +390,13 @@
     return bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool server_connection::idle() const
+{
+    // `shutdown` does not discard what the kernel has received: a request would still be read,
+    // without a way to respond.
+    return pending_.empty() && message_bytes_ == 0 && !writing_ && unread_bytes() == 0;
+}
+
 bool server_connection::on_read(std::size_t bytes) noexcept
 {
     last_activity_ = std::chrono::steady_clock::now();
@@ -542,8 +549,8 @@
     const bool reading = pending_.empty() && message_bytes_ > 0 && !writing_;
     const bool read_timed_out = reading && now - message_start_ >= limits.read_timeout;
     error_status_ = read_timed_out ? 408 : error_status_;
-    const bool idle = pending_.empty() && now - last_activity_ >= limits.idle_timeout;
-    if (read_timed_out || idle) {
+    const bool inactive = pending_.empty() && now - last_activity_ >= limits.idle_timeout;
+    if (read_timed_out || (inactive && unread_bytes() == 0)) {
         abort(read_timed_out ? "read_timeout" : "idle");
     }
 }
--- a/test/http_close-test.cpp
+++ b/test/http_close-test.cpp
@@ -124,6 +124,24 @@
     EXPECT_EQ(thread.call([this] { return held.size(); }), 1U);
 }
 
+// The kernel keeps what it received before a shutdown, so that it is still read afterwards.
+TEST_F(http_close, request_that_arrived_before_an_idle_close_is_answered)
+{
+    answer_at_once = true;
+    raw_connection raw(server->address());
+    raw.send(request);
+    EXPECT_NE(raw.read_until("response 0").find("200"), std::string::npos);
+    thread.call([] {}); // The end of the write is handled by now.
+    thread.call([this, &raw] {
+        raw.send(request);
+        server->close_idle();
+    });
+    EXPECT_NE(raw.read_until("response 1").find("200"), std::string::npos);
+    EXPECT_TRUE(thread.call([this] { return cuts.empty(); }));
+    thread.call([this] { server->close_idle(); });
+    EXPECT_EQ(raw.read_to_end(), "");
+}
+
 } // namespace
 
 } // namespace agatespread
