sidecar: a stop waits until its responses to other nodes are written

Callers saw: a large response, ready at its upstream, became 502 at another node when the node beside the upstream ended its stop meanwhile; in a rolling restart, where that other node stops too, this is a request cut off by planned work. Cause: a stop waited for callers' connections and for requests at the gate, but a request leaves the gate when its response is handed to the server, not when it is written. Class: done means handed on, not delivered. Change: the stop also waits for connections of other nodes on which something is in progress, within the shutdown timeout.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -145,6 +145,10 @@
     /// Returns the number of open connections.
     std::size_t connections() const;
 
+    /// Returns the number of connections on which a request, a response or bytes that have not been
+    /// read yet are in progress.
+    std::size_t busy_connections() const;
+
     /// Calls `call` for each connection that the server cuts from now on.
     void on_cut(std::function<void(const connection_cut&)> call);
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -39,6 +39,7 @@
                 restinio::request_id_t request_id, restinio::impl::connection_handle_t handle);
     void check_timeouts(time_point now);
     void close_idle(std::chrono::milliseconds min_idle_time);
+    std::size_t busy_connections() const;
     void close_all();
 
     asio::io_context& context;
@@ -357,6 +358,14 @@
     }
 }
 
+std::size_t server_state::busy_connections() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        connections.begin(), connections.end(),
+        [](const std::pair<const restinio::connection_id_t, std::shared_ptr<server_connection>>&
+               entry) { return !entry.second->idle(); }));
+}
+
 void server_state::close_all()
 {
     open = false;
@@ -723,6 +732,11 @@
     return impl_->state->connections.size();
 }
 
+std::size_t http_server::busy_connections() const
+{
+    return impl_->state->busy_connections();
+}
+
 void http_server::on_cut(std::function<void(const connection_cut&)> call)
 {
     impl_->state->on_cut = std::move(call);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -478,8 +478,8 @@
     // caller can safely retry it; a request that was read gets its response first.
     caller_listener->stop_accepting();
     caller_listener->close_idle();
-    const bool idle =
-        caller_requests.empty() && gate_requests.empty() && caller_listener->connections() == 0;
+    const bool idle = caller_requests.empty() && gate_requests.empty() &&
+                      caller_listener->connections() == 0 && call_listener->busy_connections() == 0;
     if (!idle && !shutdown_timed_out && now - shutdown_started >= settings.shutdown_timeout) {
         shutdown_timed_out = true;
         abort_all_requests();
