--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -46,12 +46,37 @@
     std::vector<field> fields_;
 };
 
+/// The body of a request; copies share its bytes, so that each attempt to send it costs none.
+class http_body {
+public:
+    http_body() = default;
+    http_body(std::string bytes); // NOLINT(google-explicit-constructor)
+    http_body(const char* text)
+        : http_body(std::string(text)) {} // NOLINT(google-explicit-constructor)
+
+    /// Returns `memory` when the last copy is destroyed.
+    http_body(std::string bytes, body_memory::reservation memory);
+
+    const std::string& bytes() const { return *bytes_; }
+    operator const std::string&() const { return *bytes_; } // NOLINT(google-explicit-constructor)
+    operator std::string_view() const { return *bytes_; }   // NOLINT(google-explicit-constructor)
+
+    const char* data() const { return bytes_->data(); }
+    std::size_t size() const { return bytes_->size(); }
+    bool empty() const { return bytes_->empty(); }
+
+private:
+    static const std::shared_ptr<const std::string>& no_bytes();
+
+    std::shared_ptr<const std::string> bytes_ = no_bytes();
+};
+
 /// A complete HTTP request.
 struct http_request {
     std::string method = "GET";
     std::string target = "/"; ///< Path and query.
     http_headers headers;
-    std::string body;
+    http_body body;
 };
 
 /// A complete HTTP response.
@@ -106,7 +131,7 @@
 
 /// A connection that the server closed although something was left on it.
 struct connection_cut {
-    std::string_view cause;       ///< Such as "idle", "response", "read_timeout" or "closed".
+    std::string_view cause;       ///< "idle", "response", "read_timeout", "memory" or "closed".
     std::size_t unanswered = 0;   ///< Requests that were read and get no response.
     std::size_t unread_bytes = 0; ///< Received by the system and not read yet.
     bool writing = false;         ///< A response was being written.
@@ -149,6 +174,10 @@
     /// read yet are in progress.
     std::size_t busy_connections() const;
 
+    /// Counts the requests that are being read or are in use against `large`, those of up to 64 KB
+    /// against `small`. What does not fit is refused with 503 before it has been handled.
+    void limit_memory(body_memory large, body_memory small);
+
     /// Calls `call` for each connection that the server cuts from now on.
     void on_cut(std::function<void(const connection_cut&)> call);
 
--- a/include/agatespread/sidecar.h
+++ b/include/agatespread/sidecar.h
@@ -83,7 +83,8 @@
     std::size_t caller_connections = 2500; ///< Many: callers keep idle connections open.
     std::size_t peer_connections = 1000;
     double link_bytes_per_second = 0; ///< Of the host; 0 means unlimited.
-    /// Memory that the process may use; a quarter of it is for message bodies.
+    /// Memory that the process may use; a quarter of it is for the bodies of responses and nearly a
+    /// third for requests.
     std::size_t memory_bytes = 160U << 20U;
     std::uint32_t default_slots = 8; ///< Used until the first heartbeat of the upstream.
     /// Time from the start of a shutdown until the remaining requests are ended.
--- a/programs/agatespread-target.cpp
+++ b/programs/agatespread-target.cpp
@@ -141,7 +141,7 @@
     void change_faults(http_exchange& exchange)
     {
         const nlohmann::json change =
-            nlohmann::json::parse(exchange.request().body, nullptr, false);
+            nlohmann::json::parse(exchange.request().body.bytes(), nullptr, false);
         if (!change.is_object()) {
             exchange.respond({400, {}, "a JSON object is expected\n"});
             return;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -366,6 +366,14 @@
             on_attempt_ended(node, *metadata, std::move(result.response));
             return;
         }
+        if (result.response.status == 503) {
+            // The node's server refused the request before it was handled.
+            forwarded_response_metadata refusal;
+            refusal.outcome = call_outcome::unavailable;
+            refusal.reason = "peer_refused";
+            on_attempt_ended(node, refusal, {});
+            return;
+        }
         result.error = "not an answer of a node";
         result.sent = true;
     }
--- a/src/endpoints_mesh.cpp
+++ b/src/endpoints_mesh.cpp
@@ -179,7 +179,7 @@
         return;
     }
     const nlohmann::json fields =
-        nlohmann::json::parse(call.exchange->request().body, nullptr, false);
+        nlohmann::json::parse(call.exchange->request().body.bytes(), nullptr, false);
     if (!fields.is_object()) {
         respond_error(*call.exchange, 422, "refused", "a JSON object is expected");
         return;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -21,6 +21,13 @@
 class server_connection;
 class server_exchange;
 
+// Requests up to this size have memory of their own, which large ones cannot use up.
+constexpr std::size_t max_small_request_bytes = 64U << 10U;
+
+// Value of Retry-After in seconds for a request for which there is no memory; large requests before
+// it end within a second or two.
+constexpr const char* memory_retry_after = "1";
+
 /// The state that a server shares with its connections and exchanges.
 ///
 /// Used on the loop's thread only, except for `context` and `open`.
@@ -45,6 +52,8 @@
     asio::io_context& context;
     http_limits limits;
     std::shared_ptr<const http_handler> handler;
+    body_memory large_requests;
+    body_memory small_requests;
     std::function<void(const connection_cut&)> on_cut;
     std::atomic<bool> open{true};
     bool accepting = true;
@@ -75,6 +84,7 @@
     void on_destroyed() noexcept override { detach(); }
 
     void request_complete();
+    body_memory::reservation take_memory() { return std::move(memory_); }
     bool takes_requests() const { return !closing_ && !last_request_read_; }
     void add(pending_response pending);
     void respond(restinio::request_id_t id, http_response response);
@@ -90,6 +100,7 @@
     void write(const pending_response& pending, http_response response);
     void send_error(int status);
     std::size_t unread_bytes() const noexcept;
+    bool reserve_memory(std::size_t bytes);
     void report_cut(std::string_view cause) const noexcept;
     void detach() noexcept;
 
@@ -100,6 +111,8 @@
     std::vector<pending_response> pending_;
     restinio::request_id_t last_id_ = 0; ///< Of the last request that was taken.
     std::size_t message_bytes_ = 0;      ///< Of the request being read; 0 if there is none.
+    body_memory::reservation memory_;    ///< Of the request being read.
+    bool large_request_ = false;         ///< `memory_` counts as that of a large request.
     bool writing_ = false;
     bool drain_ = false;
     bool closing_ = false;           ///< A response that closes the connection was written.
@@ -419,9 +432,29 @@
     if (message_bytes_ > body + body / 4 + (64U << 10U)) {
         error_status_ = 413;
     }
+    else if (error_status_ == 0 && !reserve_memory(bytes)) {
+        error_status_ = 503;
+    }
     return error_status_ == 0;
 }
 
+bool server_connection::reserve_memory(std::size_t bytes)
+{
+    if (message_bytes_ == bytes) {
+        memory_ = server_->small_requests.reserve();
+        large_request_ = false;
+    }
+    if (large_request_) {
+        return memory_.grow(bytes);
+    }
+    if (message_bytes_ <= max_small_request_bytes && memory_.grow(bytes)) {
+        return true;
+    }
+    large_request_ = true;
+    memory_ = server_->large_requests.reserve();
+    return memory_.grow(message_bytes_);
+}
+
 void server_connection::on_write(bool active) noexcept
 {
     writing_ = active;
@@ -452,6 +485,9 @@
     if (closing_) {
         report_cut("response");
     }
+    else if (error_status_ == 503 && server_->on_cut) {
+        server_->on_cut({"memory", pending_.size(), unread_bytes(), writing_});
+    }
     detach();
     return std::exchange(drain_, false);
 }
@@ -477,7 +513,11 @@
 
 void server_connection::send_error(int status)
 {
-    http_response response = error_response(status, "the request cannot be read");
+    http_response response = error_response(
+        status, status == 503 ? "no memory is left for the request" : "the request cannot be read");
+    if (status == 503) {
+        response.headers.add("Retry-After", memory_retry_after);
+    }
     const std::string head = response_head(response, {false, false, 1});
     const std::string bytes = head + response.body;
     // The socket's send buffer is empty here, so these few bytes fit without blocking.
@@ -487,6 +527,7 @@
 void server_connection::detach() noexcept
 {
     socket_ = nullptr;
+    memory_ = {};
     const std::vector<pending_response> unanswered = std::exchange(pending_, {});
     for (const pending_response& entry : unanswered) {
         if (const std::shared_ptr<server_exchange> exchange = entry.exchange.lock()) {
@@ -577,7 +618,7 @@
     }
 }
 
-http_request read_request(const restinio::request_t& source)
+http_request read_request(const restinio::request_t& source, body_memory::reservation memory)
 {
     http_request result;
     result.method = source.header().method().c_str();
@@ -585,7 +626,7 @@
     source.header().for_each_field([&result](const restinio::http_header_field_t& field) {
         result.headers.add(field.name(), field.value());
     });
-    result.body = source.body();
+    result.body = http_body(source.body(), std::move(memory));
     return result;
 }
 
@@ -615,8 +656,8 @@
                            {501, "only HTTP/1.1 without an upgrade is supported"});
         return restinio::request_accepted();
     }
-    server->handle(read_request(*source), info, connection, source->request_id(),
-                   std::move(handle));
+    server->handle(read_request(*source, connection->take_memory()), info, connection,
+                   source->request_id(), std::move(handle));
     return restinio::request_accepted();
 }
 
@@ -737,6 +778,12 @@
     return impl_->state->busy_connections();
 }
 
+void http_server::limit_memory(body_memory large, body_memory small)
+{
+    impl_->state->large_requests = std::move(large);
+    impl_->state->small_requests = std::move(small);
+}
+
 void http_server::on_cut(std::function<void(const connection_cut&)> call)
 {
     impl_->state->on_cut = std::move(call);
--- a/src/platform_server.cpp
+++ b/src/platform_server.cpp
@@ -233,7 +233,7 @@
 void serve_faults(memory_platform& driver, const exchange_ptr& exchange)
 {
     if (exchange->request().method == "POST") {
-        const json members = json::parse(exchange->request().body, nullptr, false);
+        const json members = json::parse(exchange->request().body.bytes(), nullptr, false);
         fault_request request;
         request.faults = driver.faults();
         const std::string invalid =
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -36,9 +36,12 @@
 
 constexpr std::size_t client_connections_per_host = 200;
 
-// Share of the process's memory for message bodies. A body that grows is copied, so they take twice
-// as much for a moment; the rest is for connections and state.
-constexpr std::size_t body_memory_divisor = 4;
+// Shares of the process's memory for the bodies of responses, for requests, and for requests of up
+// to 64 KB, which are so taken while large ones fill theirs. A body that grows is copied, so the
+// largest takes twice as much for a moment; the rest is for connections and state.
+constexpr std::size_t response_memory_divisor = 4;
+constexpr std::size_t request_memory_divisor = 4;
+constexpr std::size_t small_request_memory_divisor = 16;
 
 } // namespace
 
@@ -94,7 +97,9 @@
       body_bytes(data.gauge_of("agatespread_body_bytes")),
       body_peak_bytes(data.gauge_of("agatespread_body_peak_bytes")),
       body_denials(data.gauge_of("agatespread_body_denials")),
-      connections_cut(data.counter_of("agatespread_connections_cut_total"))
+      connections_cut(data.counter_of("agatespread_connections_cut_total")),
+      request_bytes(data.gauge_of("agatespread_request_bytes")),
+      request_denials(data.gauge_of("agatespread_request_denials"))
 {
 }
 
@@ -135,7 +140,9 @@
                  }),
       gate(gate_options(settings)), link(settings.link_bytes_per_second),
       upstream(static_cast<bool>(dialect.read_health)),
-      bodies(settings.memory_bytes / body_memory_divisor),
+      bodies(settings.memory_bytes / response_memory_divisor),
+      large_requests(settings.memory_bytes / request_memory_divisor),
+      small_requests(settings.memory_bytes / small_request_memory_divisor),
       client(loop, client_connections_per_host, bodies), incarnation(random())
 {
 }
@@ -167,6 +174,8 @@
         return calls.status();
     }
     call_listener = *std::move(calls);
+    caller_listener->limit_memory(large_requests, small_requests);
+    call_listener->limit_memory(large_requests, small_requests);
     caller_listener->on_cut([this](const connection_cut& cut) { log_cut("callers", cut); });
     call_listener->on_cut([this](const connection_cut& cut) { log_cut("nodes", cut); });
     absl::StatusOr<std::unique_ptr<datagram_socket>> socket =
@@ -248,6 +257,9 @@
     counters.body_bytes.set(static_cast<std::int64_t>(bodies.used()));
     counters.body_peak_bytes.set(static_cast<std::int64_t>(bodies.peak()));
     counters.body_denials.set(static_cast<std::int64_t>(bodies.denials()));
+    counters.request_bytes.set(
+        static_cast<std::int64_t>(large_requests.used() + small_requests.used()));
+    counters.request_denials.set(static_cast<std::int64_t>(large_requests.denials()));
     log_full_listener();
     if (caller_listener->connections() * 10 < limit * 8) {
         return;
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -79,6 +79,8 @@
     gauge& body_peak_bytes;
     gauge& body_denials; ///< Bodies that were discarded or refused for lack of memory.
     counter& connections_cut;
+    gauge& request_bytes;   ///< Held in requests that are being read or are in use.
+    gauge& request_denials; ///< Requests that were refused for lack of memory.
 };
 
 } // namespace detail
@@ -206,6 +208,8 @@
     time_point gate_closed;      ///< When the gate last closed.
 
     body_memory bodies; ///< Of all responses that the node receives.
+    body_memory large_requests;
+    body_memory small_requests;
     http_client client; ///< Connects to other nodes and to the upstream.
     std::unique_ptr<http_server> caller_listener;
     std::unique_ptr<http_server> call_listener;
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -103,7 +103,7 @@
     http_handler handler = [](const std::shared_ptr<http_exchange>& exchange) {
         http_response response;
         response.headers.add("X-Method", exchange->request().method);
-        response.body = exchange->request().target + " " + exchange->request().body;
+        response.body = exchange->request().target + " " + exchange->request().body.bytes();
         exchange->respond(std::move(response));
     };
     std::unique_ptr<http_client> client;
@@ -124,7 +124,7 @@
     EXPECT_EQ(result.outcome, http_outcome::answered) << result.error;
     EXPECT_EQ(result.response.status, 200);
     EXPECT_EQ(result.response.headers.get("x-method"), "PUT");
-    EXPECT_EQ(result.response.body, "/a/../b?c=%20d " + call.request.body);
+    EXPECT_EQ(result.response.body, "/a/../b?c=%20d " + call.request.body.bytes());
 }
 
 TEST_F(http, thousand_calls_share_one_connection)
--- a/test/operator_auth-test.cpp
+++ b/test/operator_auth-test.cpp
@@ -79,7 +79,7 @@
     request.target += "&dry_run=1";
     EXPECT_TRUE(contains(check_result(authenticator, request), "signature"));
     request = signed_call(1);
-    request.body += " ";
+    request.body = request.body.bytes() + " ";
     EXPECT_TRUE(contains(check_result(authenticator, request), "signature"));
     for (const std::string part : {"key=alice", "time=18", "nonce=", "mac="}) {
         request = signed_call(1);
--- a/test/platform_store-test.cpp
+++ b/test/platform_store-test.cpp
@@ -186,7 +186,7 @@
     ASSERT_TRUE(done.ok());
     EXPECT_TRUE(done->committed);
     ASSERT_EQ(requests.size(), 1U);
-    const nlohmann::json body = nlohmann::json::parse(requests[0].body);
+    const nlohmann::json body = nlohmann::json::parse(requests[0].body.bytes());
     EXPECT_EQ(body["writes"][0]["value"], "YmNk");
     EXPECT_EQ(body["writes"][0]["table"], "nodes");
     EXPECT_EQ(body["remove"][0]["key"], "b");
@@ -202,7 +202,7 @@
     write.preconditions.push_back({"nodes/a", "bcd"});
     write.writes.push_back({"nodes/a", "new"});
     ASSERT_TRUE(commit(std::move(write))->committed);
-    EXPECT_EQ(nlohmann::json::parse(requests[1].body)["expected_rev"][0]["ver"], 5);
+    EXPECT_EQ(nlohmann::json::parse(requests[1].body.bytes())["expected_rev"][0]["ver"], 5);
 }
 
 TEST_F(platform_store, failed_precondition_is_a_conflict_without_a_write)
--- a/test/platform_table_server.h
+++ b/test/platform_table_server.h
@@ -107,7 +107,7 @@
         const std::string target = exchange->request().target;
         const std::string table = parameter(target, "table");
         if (target.rfind("/v1/rows-tx", 0) == 0) {
-            const nlohmann::json body = nlohmann::json::parse(exchange->request().body);
+            const nlohmann::json body = nlohmann::json::parse(exchange->request().body.bytes());
             respond(*exchange, 200, nlohmann::json::array());
             for (const nlohmann::json& row : body["writes"]) {
                 std::string value;
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -106,6 +106,39 @@
     }
 }
 
+// Guards against a node that exceeds the memory of its host, and is killed with all its requests,
+// because large requests within the limit of each arrive at the same time.
+TEST_F(sidecar_upstream, request_bodies_beyond_the_memory_are_refused_and_small_requests_go_on)
+{
+    constexpr std::size_t memory = 4U << 20U;
+    constexpr std::size_t body_bytes = 3U << 20U;
+    adjust_settings = [](sidecar_settings& settings) { settings.memory_bytes = 4 * memory; };
+    start(first, "a", "rounds");
+    configure("1 5000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(first);
+    ASSERT_TRUE(eventually_responds_with(first, 200));
+    const std::string address = thread.call([this] { return first.node->caller_address(); });
+    const std::string head = "POST /x/1 HTTP/1.1\r\nHost: mesh.example\r\nId: large\r\n"
+                             "Content-Length: " +
+                             std::to_string(body_bytes) + "\r\n\r\n";
+    raw_connection taken(address);
+    taken.send(head + std::string(body_bytes - 1, 'x'));
+    ASSERT_TRUE(thread.eventually([this] {
+        return data.gauge_of("agatespread_request_bytes").value() >=
+               static_cast<std::int64_t>(body_bytes);
+    }));
+    raw_connection refused(address);
+    refused.send(head + std::string(body_bytes, 'x'));
+    const std::string refusal = refused.read_until("\r\n\r\n");
+    EXPECT_EQ(refusal.substr(9, 3), "503");
+    EXPECT_NE(refusal.find("Retry-After: "), std::string::npos);
+    EXPECT_EQ(send(first, "small", "POST").response.status, 200);
+    taken.send("x");
+    EXPECT_EQ(taken.read_until("\r\n\r\n").substr(9, 3), "200");
+    EXPECT_EQ(thread.call([this] { return first.last_request.body.size(); }), body_bytes);
+}
+
 // Guards against a node that exceeds the memory of its host, and is killed with all its requests,
 // because its upstream sends several responses without end.
 TEST_F(sidecar_upstream, responses_without_end_are_cut_off_within_the_memory_for_bodies)
--- a/tools/sidecar_callers.py
+++ b/tools/sidecar_callers.py
@@ -27,9 +27,9 @@
         self.random = generator
         # Some callers go through a proxy, some ignore that the node is not ready, some do not
         # know the idle timeout.
-        port = "outbound" if self.random.random() < 0.8 else "proxy"
-        self.endpoint = (machine.ip, mesh.PORTS["outbound"] if port == "outbound"
-                         else mesh.PROXY_PORTS["outbound"])
+        self.proxied = self.random.random() < 0.2
+        ports = mesh.PROXY_PORTS if self.proxied else mesh.PORTS
+        self.endpoint = (machine.ip, ports["outbound"])
         self.heeds_ready = self.random.random() < 0.7
         self.heeds_idle = self.random.random() < 0.8
         self.reader = None
@@ -91,6 +91,7 @@
             for position in range(count):
                 exchange = self.record.new_exchange(self.machine.name, self.choose_class(),
                                                     self.answered > 0, position)
+                exchange.proxied = self.proxied
                 exchanges.append(exchange)
                 await self.send(exchange)
         except ConnectionError:
--- a/tools/sidecar_mesh.py
+++ b/tools/sidecar_mesh.py
@@ -97,6 +97,7 @@
         self.node = node  # Name of the machine that takes it from the caller.
         self.cls = request_class
         self.kept = kept  # Whether its connection had carried a response before.
+        self.proxied = False
         self.position = position  # Number of unanswered requests ahead of it on the connection.
         self.sent = None  # When its first byte was sent.
         self.last_byte = None
@@ -114,7 +115,7 @@
 
     def line(self):
         fields = {"id": self.id, "class": self.cls.name, "node": self.node, "kept": self.kept,
-                  "position": self.position, "sent": self.sent, "last_byte": self.last_byte,
+                  "proxied": self.proxied, "position": self.position, "sent": self.sent, "last_byte": self.last_byte,
                   "answered": self.answered, "status": self.status, "signed": self.signed,
                   "fault": self.fault, "closed": self.closed, "closed_by": self.closed_by,
                   "arrivals": [(at, up.instance) for at, up in self.arrivals],
@@ -130,6 +131,7 @@
         self.exchanges = {}
         self.events = []  # (time, name, fields)
         self.impairments = []  # [start, end or None, scope]; a scope is a node, "store" or "all"
+        self.lags = []  # (time, how late the stand-ins' event loop was)
         self.ids = itertools.count(1)
         self.prefix = "%06x" % random.SystemRandom().randrange(1 << 24)
 
@@ -157,6 +159,16 @@
         return any(scope in scopes and begun <= end and (ended is None or ended >= start)
                    for begun, ended, scope in self.impairments)
 
+    async def measure_lag(self, period=0.02):
+        while True:
+            due = self.now() + period
+            await asyncio.sleep(period)
+            self.lags.append((self.now(), self.now() - due))
+
+    def lag(self, start, end):
+        """The longest lag of the stand-ins in a time."""
+        return max((lag for at, lag in self.lags if start <= at <= end + 0.5), default=0.0)
+
     def write(self, folder):
         with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
             for at, name, fields in self.events:
@@ -451,7 +463,8 @@
     def __init__(self, folder, command, seed, record):
         self.folder = folder
         self.command = command
-        self.network = 2 + seed % 250
+        # Concurrent runs, also those of one seed, use different addresses.
+        self.network = 2 + (seed + 97 * os.getpid()) % 250
         self.record = record
         self.random = random.Random(seed)
         self.store = Store(record)
