--- a/test/platform_control-test.cpp
+++ b/test/platform_control-test.cpp
@@ -57,6 +57,26 @@
     EXPECT_TRUE(absl::IsNotFound(parse_upstream_message("/v1/other", body("ready")).status()));
 }
 
+// Guards against a message of another writer that is taken for one of the own upstream, after which
+// what that upstream says is ignored as older.
+TEST(platform_control, heartbeats_of_other_writers_are_rejected)
+{
+    const std::string without_state =
+        R"({"address":"10.0.0.1:1","info":{"service":"s","slots":9},"status":{"sequence":4}})";
+    EXPECT_FALSE(parse_upstream_message(path, without_state).ok());
+    sidecar_settings settings;
+    settings.service = "s";
+    settings.upstream_address = "10.0.0.1:1";
+    const absl::StatusOr<upstream_message> message = parse_upstream_message(path, body("ready"));
+    ASSERT_TRUE(message.ok());
+    EXPECT_TRUE(check_sender(*message, settings).ok());
+    settings.service = "nobody";
+    EXPECT_FALSE(check_sender(*message, settings).ok());
+    settings.service = "s";
+    settings.upstream_address = "10.0.0.2:1";
+    EXPECT_FALSE(check_sender(*message, settings).ok());
+}
+
 // Guards against a message that ends the process, or that is read with other values than it has.
 TEST(platform_control, odd_messages_of_other_writers_are_rejected)
 {
