--- a/tools/sidecar_callers.py
+++ b/tools/sidecar_callers.py
@@ -32,6 +32,7 @@
         self.endpoint = (machine.ip, ports["outbound"])
         self.heeds_ready = self.random.random() < 0.7
         self.heeds_idle = self.random.random() < 0.8
+        self.connection = None
         self.reader = None
         self.writer = None
         self.answered = 0
@@ -53,9 +54,18 @@
 
     def is_spent(self):
         idle = self.record.now() - self.last_use
-        return self.reader.at_eof() or self.reader.exception() is not None or (
+        return self.is_closed() or (
             self.heeds_idle and idle > MAX_IDLE_SHARE * self.deployment.idle_timeout)
 
+    def is_closed(self):
+        """Asks the kernel, which knows of a close before this process has read it."""
+        try:
+            return self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return self.reader.at_eof()
+        except OSError:
+            return True
+
     async def connect(self):
         if self.heeds_ready and not self.machine.in_rotation:
             return False
@@ -72,6 +82,7 @@
         except (OSError, asyncio.TimeoutError):
             connection.close()
             return False
+        self.connection = connection
         self.answered = 0
         self.last_use = self.record.now()
         return True
--- a/tools/sidecar_mesh.py
+++ b/tools/sidecar_mesh.py
@@ -460,7 +460,8 @@
 class Deployment:
     """All machines of a run, their upstreams, the store and the configuration."""
 
-    def __init__(self, folder, command, seed, record):
+    def __init__(self, folder, command, seed, record, scale=1):
+        self.scale = scale  # Hosts for each one of the site.
         self.folder = folder
         self.command = command
         # Concurrent runs, also those of one seed, use different addresses.
@@ -483,7 +484,7 @@
         numbers = itertools.count()
         for service, counts in SHAPE.items():
             for zone, count in zip(ZONES, counts):
-                for _ in range(count):
+                for _ in range(count * self.scale):
                     machine = Machine(self, next(numbers), zone, service)
                     self.machines.append(machine)
                     await machine.start_links()
