http_server: no report of a cut after the server is gone; responses from other threads

Cause: connections outlive the server until RESTinio has closed them, and the hook for cuts refers to an owner that may be gone. Besides, a response from another thread read two members of the loop's thread. Change: the hook is dropped with the server; the members are read on the loop's thread only.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -50,16 +50,15 @@
 class http_body {
 public:
     http_body() = default;
-    http_body(std::string bytes); // NOLINT(google-explicit-constructor)
-    http_body(const char* text)
-        : http_body(std::string(text)) {} // NOLINT(google-explicit-constructor)
+    http_body(std::string bytes);
+    http_body(const char* text) : http_body(std::string(text)) {}
 
     /// Returns `memory` when the last copy is destroyed.
     http_body(std::string bytes, body_memory::reservation memory);
 
     const std::string& bytes() const { return *bytes_; }
-    operator const std::string&() const { return *bytes_; } // NOLINT(google-explicit-constructor)
-    operator std::string_view() const { return *bytes_; }   // NOLINT(google-explicit-constructor)
+    operator const std::string&() const { return *bytes_; }
+    operator std::string_view() const { return *bytes_; }
 
     const char* data() const { return bytes_->data(); }
     std::size_t size() const { return bytes_->size(); }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -24,6 +24,8 @@
 // Requests up to this size have memory of their own, which large ones cannot use up.
 constexpr std::size_t max_small_request_bytes = 64U << 10U;
 
+constexpr int no_memory_status = 503;
+
 // Value of Retry-After in seconds for a request for which there is no memory; large requests before
 // it end within a second or two.
 constexpr const char* memory_retry_after = "1";
@@ -155,8 +157,7 @@
         }
         // While a request is handled, those that arrived with it have not been parsed yet. A
         // response that ends the connection waits until they are.
-        const bool wait = server_->handling && server_->ends_connection(response);
-        if (server_->on_loop() && !wait) {
+        if (server_->on_loop() && !(server_->handling && server_->ends_connection(response))) {
             deliver(connection_, id_, std::move(response));
             return;
         }
@@ -389,6 +390,8 @@
              entry : all) {
         entry.second->abort("closed");
     }
+    // Connections outlive the server until RESTinio has closed them.
+    on_cut = nullptr;
     handler = nullptr;
 }
 
@@ -433,7 +436,7 @@
         error_status_ = 413;
     }
     else if (error_status_ == 0 && !reserve_memory(bytes)) {
-        error_status_ = 503;
+        error_status_ = no_memory_status;
     }
     return error_status_ == 0;
 }
@@ -486,7 +489,7 @@
         report_cut("response");
         drain_ = drain_ || unread_bytes() > 0;
     }
-    else if (error_status_ == 503 && server_->on_cut) {
+    else if (error_status_ == no_memory_status && server_->on_cut) {
         server_->on_cut({"memory", pending_.size(), unread_bytes(), writing_});
     }
     detach();
@@ -514,9 +517,10 @@
 
 void server_connection::send_error(int status)
 {
-    http_response response = error_response(
-        status, status == 503 ? "no memory is left for the request" : "the request cannot be read");
-    if (status == 503) {
+    const bool no_memory = status == no_memory_status;
+    http_response response = error_response(status, no_memory ? "no memory is left for the request"
+                                                              : "the request cannot be read");
+    if (no_memory) {
         response.headers.add("Retry-After", memory_retry_after);
     }
     const std::string head = response_head(response, {false, false, 1});
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -36,9 +36,9 @@
 
 constexpr std::size_t client_connections_per_host = 200;
 
-// Shares of the process's memory for the bodies of responses, for requests, and for requests of up
-// to 64 KB, which are so taken while large ones fill theirs. A body that grows is copied, so the
-// largest takes twice as much for a moment; the rest is for connections and state.
+// Shares of the process's memory for the bodies of responses, for large requests and for small
+// ones, which thus are still taken while large ones use up their share. A body that grows is
+// copied, so the largest takes twice as much for a moment; the rest is for connections and state.
 constexpr std::size_t response_memory_divisor = 4;
 constexpr std::size_t request_memory_divisor = 4;
 constexpr std::size_t small_request_memory_divisor = 16;
--- a/test/http_close-test.cpp
+++ b/test/http_close-test.cpp
@@ -140,6 +140,25 @@
     EXPECT_GE(raw.read_to_end().size(), body_bytes);
 }
 
+// Guards against a report to an owner that no longer exists.
+TEST_F(http_close, no_cut_is_reported_after_the_server_is_gone)
+{
+    raw_connection raw(server->address());
+    raw.send(request);
+    ASSERT_TRUE(hold(1));
+    const std::size_t reported = thread.call([this, &raw] {
+        http_response response;
+        response.headers.add("Connection", "close");
+        response.body = std::string(24U << 20U, 'x');
+        held[0]->respond(std::move(response));
+        raw.send(request);
+        server.reset();
+        return cuts.size();
+    });
+    raw.read_to_end();
+    EXPECT_EQ(thread.call([this] { return cuts.size(); }), reported);
+}
+
 // The kernel keeps what it received before a shutdown, so that it is still read afterwards.
 TEST_F(http_close, request_that_arrived_before_an_idle_close_is_answered)
 {
