--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -113,7 +113,7 @@
     def __init__(self, log, name, service, host, node=None, slots=9, zone='z1', answer=None, heartbeat=0.87):
         self.log, self.name, self.service, self.host, self.slots, self.zone = log, name, service, host, slots, zone
         self.answer = answer; self.state = 'ready'; self.seq = 0; self.born = int(time.time() * 1000)
-        self.runs = []; self.requests = []; self.lock = threading.Lock(); self.open = True; self.node = node
+        self.runs = []; self.requests = []; self.connections = []; self.lock = threading.Lock(); self.open = True; self.node = node
         self.sock = socket.socket(); self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind((host, 0)); self.sock.listen(128)
         self.address = '%s:%d' % (host, self.sock.getsockname()[1]); self.heartbeat = heartbeat
@@ -122,8 +122,11 @@
         while self.open:
             try: c, _ = self.sock.accept()
             except OSError: return
-            c.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            c.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1); self.connections.append(c)
             threading.Thread(target=self.serve, args=(c,), daemon=True).start()
+    def drop_connections(self):
+        for c in list(self.connections):
+            with contextlib.suppress(OSError): c.shutdown(socket.SHUT_RDWR)
     def serve(self, c):
         f = c.makefile('rb')
         try:
