--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -19,7 +19,7 @@
     """Tables with one version counter, as PROTOCOL.md describes the store."""
     def __init__(self, log, address='127.0.0.2'):
         self.rows = {}; self.version = 1; self.changes = []; self.cond = threading.Condition(); self.log = log
-        self.down = False
+        self.down = False; self.reads = []  # (time, table) of each read
         store = self
         class Handler(BaseHTTPRequestHandler):
             protocol_version = 'HTTP/1.1'
@@ -51,7 +51,7 @@
     def now(self): return '%dms' % int(time.monotonic() * 1000)
     def get(self, q):
         with self.cond:
-            table, part = q['table'], q.get('part', '')
+            table, part = q['table'], q.get('part', ''); self.reads.append((time.monotonic(), table))
             rows = sorted((k, v) for k, v in self.rows.items() if k[0] == table and k[1] == part
                           and k[2] >= q.get('from', '') and ('to' not in q or k[2] < q['to']))
             limit = min(int(q.get('limit', 500)), 500)
