sidecar: causes of failed runs, refusals beside free slots, shares and slots in the usage line

No log or metric had the value of the share between its first fall and its return, the cause of a failed run, or whether a refusal was made while slots were free.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -129,6 +129,14 @@
     std::chrono::nanoseconds transit{0}; ///< Measured network time; 0 without a recent response.
 };
 
+/// The slots of several upstreams.
+struct slot_use {
+    std::uint64_t slots = 0;
+    std::uint64_t free = 0; ///< Of those, without a running or queued request.
+
+    void add(const reported_load& load);
+};
+
 /// What a peer's last report says that concerns rollouts.
 struct peer_rollouts {
     node_id node;
@@ -196,6 +204,9 @@
     std::vector<run_count> runs_of(std::string_view service, std::uint32_t kind,
                                    time_point now) const;
 
+    /// Returns the slots of the upstreams that may receive requests of a service, as reported.
+    slot_use slots_of(std::string_view service, time_point now) const;
+
     /// Returns the arrivals of a rule's requests that all peers reported recently.
     idle_arrivals arrivals_of(std::uint32_t kind, time_point now) const;
 
--- a/include/agatespread/run_success.h
+++ b/include/agatespread/run_success.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -43,6 +45,23 @@
     std::map<std::uint32_t, rule_counts> rules_;
 };
 
+/// Remembers why calls of the own upstream's runs failed, to name the cause of a failed run.
+///
+/// A call does not name its run. With several runs at a time, the cause of a run that failed for a
+/// reason of its own may be the failed call of another one.
+class call_failures {
+public:
+    /// Records that a call failed.
+    void add(std::string reason, time_point now);
+
+    /// Returns the reason of the latest call that failed at `since` or later, or an empty text.
+    std::string_view latest_since(time_point since) const;
+
+private:
+    std::string reason_;
+    time_point failed_at_;
+};
+
 /// Returns the share of failed runs of a rule if the failures are spread over the upstreams of the
 /// service, otherwise 0; nothing with too few runs to tell.
 ///
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -933,6 +933,10 @@
     count_second("failed");
     if (series_ != nullptr) {
         series_->refused.add();
+        owner_->count_refusal(rule_->name, service_, reason);
+    }
+    if (nested_) {
+        owner_->record_failed_call(reason);
     }
     if (tenant_) {
         owner_->count_tenant_request(tenant_->name, status == 429 ? "over_quota" : "refused");
@@ -964,6 +968,9 @@
     }
     count_second("failed");
     series_->failed.add();
+    if (nested_) {
+        owner_->record_failed_call(fmt::format("failed_{}", status));
+    }
     if (tenant_) {
         owner_->count_tenant_request(tenant_->name, "failed");
     }
@@ -991,6 +998,9 @@
         owner_->count_tenant_request(tenant_->name, "answered");
     }
     count_second(response.status >= 500 ? "failed" : ended_.second ? "won" : "lost");
+    if (nested_ && response.status >= 500) {
+        owner_->record_failed_call("error_response");
+    }
     if (series_ != nullptr) {
         const time_point now = owner_->loop.now();
         const std::chrono::nanoseconds taken = now - times_.started;
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -292,7 +292,7 @@
         respond(call_outcome::failed, {}, "spoiled_answer", milliseconds(0));
     }
     else {
-        owner_->record_run(metadata_.rule, result.response.status);
+        owner_->record_run(metadata_.rule, result.response.status, forwarded_);
         respond(call_outcome::answered, std::move(result.response), {}, milliseconds(0));
     }
 }
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -264,6 +264,26 @@
     return result;
 }
 
+void slot_use::add(const reported_load& load)
+{
+    const std::uint64_t taken = std::uint64_t{load.running} + load.queued;
+    slots += load.slots;
+    free += load.slots - std::min<std::uint64_t>(load.slots, taken);
+}
+
+slot_use peers::slots_of(std::string_view service, time_point now) const
+{
+    slot_use sum;
+    for (const std::pair<const node_id, peer>& each : peers_) {
+        const peer& subject = each.second;
+        if (subject.entry.service == service && subject.state == upstream_state::ready &&
+            !subject.suspended && is_alive(subject, now)) {
+            sum.add(subject.load);
+        }
+    }
+    return sum;
+}
+
 idle_arrivals peers::arrivals_of(std::uint32_t kind, time_point now) const
 {
     constexpr double hundredths = 100;
--- a/src/run_success.cpp
+++ b/src/run_success.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace agatespread {
 
@@ -117,6 +118,17 @@
     return results;
 }
 
+void call_failures::add(std::string reason, time_point now)
+{
+    reason_ = std::move(reason);
+    failed_at_ = now;
+}
+
+std::string_view call_failures::latest_since(time_point since) const
+{
+    return failed_at_ >= since ? std::string_view(reason_) : std::string_view();
+}
+
 std::optional<double> widespread_failures(const std::vector<run_count>& by_upstream)
 {
     run_count total;
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -103,6 +103,8 @@
       quota_events(data, "agatespread_quota_events_total"),
       second_results(data, "agatespread_second_attempts_total"),
       second_refusals(data, "agatespread_second_attempts_refused_total"),
+      refusals(data, "agatespread_refusals_total"),
+      failed_runs(data, "agatespread_failed_runs_total"),
       connections_cut(data, "agatespread_connections_cut_total"),
       driver(platform_driver, platform_calls, platform_call_errors),
       settings(std::move(initial_settings)), dialect(std::move(platform_dialect)),
@@ -356,7 +358,14 @@
 
 void sidecar::impl::log_usage(time_point now)
 {
+    const admission_load at_gate = gate.load(now);
     log.change("usage", {{"requests", describe_new_requests()},
+                         {"running", at_gate.running},
+                         {"queued", at_gate.queued},
+                         {"slots", at_gate.slots},
+                         {"refusals", refusals.summary()},
+                         {"failed_runs", failed_runs.summary()},
+                         {"run_shares", describe_run_shares()},
                          {"platform_calls", platform_calls.summary()},
                          {"platform_errors", platform_call_errors.summary()},
                          {"remote_bytes", remote_bytes.summary()},
--- a/src/sidecar_impl.h
+++ b/src/sidecar_impl.h
@@ -161,8 +161,15 @@
 
     /// Returns whether the configuration calls for the decisions on runs and urgency at all.
     bool protects_runs() const;
-    /// Records the end of a run at the own upstream.
-    void record_run(const std::string& rule, int status);
+    /// Records the end of a run at the own upstream that started at `started`.
+    void record_run(const std::string& rule, int status, time_point started);
+    /// Records that a call of a run at the own upstream failed, and why.
+    void record_failed_call(std::string_view reason);
+    /// Counts a refusal by its reason, and whether the service had free slots at that moment.
+    void count_refusal(const std::string& rule, const std::string& service,
+                       std::string_view reason);
+    bool has_free_slots(const std::string& service);
+    std::string describe_run_shares() const;
     /// Returns the results and arrivals by rule, for a report.
     std::vector<rule_results> own_results() const;
     /// Returns whether a request of a caller, which arrives now, is a call of an upstream's run.
@@ -296,6 +303,8 @@
     detail::counter_set quota_events;    ///< By `event`.
     detail::counter_set second_results;  ///< Of second attempts, by `result`.
     detail::counter_set second_refusals; ///< By `reason`.
+    detail::counter_set refusals;        ///< By `reason`, `room` and `rule`.
+    detail::counter_set failed_runs;     ///< Of the own upstream, by `cause` and `rule`.
     detail::counter_set connections_cut; ///< By `listener` and `cause`.
     detail::counted_platform driver;
     sidecar_settings settings;
--- a/src/sidecar_runs.cpp
+++ b/src/sidecar_runs.cpp
@@ -2,6 +2,8 @@
 
 #include <agatespread/run_success.h>
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace agatespread {
@@ -13,10 +15,17 @@
         time_point checked_at;
     };
 
+    struct room_state {
+        bool free = true;
+        time_point checked_at;
+    };
+
     run_log results; ///< Of the upstream on this host.
+    call_failures failed_calls;
     nested_rules nested;
     std::map<std::uint32_t, nested_state> nested_states;             ///< By kind.
     std::map<std::pair<std::string, std::string>, run_share> shares; ///< By service and rule.
+    std::map<std::string, room_state> rooms;                         ///< By service.
 };
 
 std::shared_ptr<detail::run_state> detail::make_run_state()
@@ -36,6 +45,13 @@
 
 constexpr double max_permille = 1000;
 
+// Interval at which the slots that all nodes report are looked at.
+constexpr milliseconds room_check_period{100};
+
+// Share of a service's slots from which refusals count as made while there was room. Below it,
+// the free slots are those between the end of one run and the start of the next.
+constexpr double min_free_share = 0.125;
+
 // Statuses with which an upstream ends a run whose own calls failed.
 constexpr int internal_error = 500;
 constexpr int upstream_out_of_time = 504;
@@ -47,10 +63,61 @@
     return table && (table->has_tenants() || table->has_uploads());
 }
 
-void sidecar::impl::record_run(const std::string& rule, int status)
+void sidecar::impl::record_run(const std::string& rule, int status, time_point started)
+{
+    const bool failed = status == internal_error || status == upstream_out_of_time;
+    runs->results.add(kind_of(rule), failed, loop.now());
+    if (failed && protects_runs()) {
+        const std::string_view call = runs->failed_calls.latest_since(started);
+        const std::string_view own = status == internal_error ? "own_error" : "own_deadline";
+        failed_runs.add({{"cause", std::string(call.empty() ? own : call)}, {"rule", rule}});
+    }
+}
+
+void sidecar::impl::record_failed_call(std::string_view reason)
+{
+    runs->failed_calls.add("call_" + std::string(reason), loop.now());
+}
+
+bool sidecar::impl::has_free_slots(const std::string& service)
 {
-    runs->results.add(kind_of(rule), status == internal_error || status == upstream_out_of_time,
-                      loop.now());
+    if (runs->rooms.size() >= max_run_states) {
+        runs->rooms.clear();
+    }
+    detail::run_state::room_state& state = runs->rooms[service];
+    const time_point now = loop.now();
+    if (now - state.checked_at < room_check_period) {
+        return state.free;
+    }
+    state.checked_at = now;
+    slot_use use = known_peers.slots_of(service, now);
+    if (service == settings.service && gate_state() == upstream_state::ready) {
+        use.add(own_load());
+    }
+    state.free = use.slots > 0 &&
+                 static_cast<double>(use.free) >= min_free_share * static_cast<double>(use.slots);
+    return state.free;
+}
+
+void sidecar::impl::count_refusal(const std::string& rule, const std::string& service,
+                                  std::string_view reason)
+{
+    refusals.add({{"reason", std::string(reason)},
+                  {"room", has_free_slots(service) ? "free" : "full"},
+                  {"rule", rule}});
+}
+
+std::string sidecar::impl::describe_run_shares() const
+{
+    std::string text;
+    for (const std::pair<const std::pair<std::string, std::string>, run_share>& each :
+         runs->shares) {
+        if (each.second.share() < 1) {
+            text += fmt::format("{}{}/{}:{:.0f}", text.empty() ? "" : ",", each.first.second,
+                                each.first.first, each.second.share() * max_permille);
+        }
+    }
+    return text.empty() ? "-" : text;
 }
 
 void sidecar::impl::sample_runs()
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -65,6 +65,24 @@
     EXPECT_TRUE(others.runs_of("rounds", 21, now + std::chrono::seconds(5)).empty());
 }
 
+// Guards against refusals that count as made with free slots because of an upstream that may not
+// receive requests, or because a queue counts as free slots of another upstream.
+TEST(peers, free_slots_are_those_of_upstreams_that_may_receive_requests)
+{
+    peers others = directory();
+    peer_report full = report_of("a", 1);
+    full.load.running = 9;
+    full.load.queued = 7;
+    peer_report leaving = report_of("b", 1);
+    leaving.state = upstream_state::draining;
+    for (const peer_report& each : {full, leaving, report_of("c", 1)}) {
+        others.receive(each, start);
+    }
+    EXPECT_EQ(others.slots_of("rounds", start).slots, 18U);
+    EXPECT_EQ(others.slots_of("rounds", start).free, 5U);
+    EXPECT_EQ(others.slots_of("other", start).slots, 0U);
+}
+
 TEST(peers, report_is_equal_after_encoding_and_decoding)
 {
     peer_report report = report_of("a", 7);
--- a/test/run_success-test.cpp
+++ b/test/run_success-test.cpp
@@ -173,4 +173,14 @@
     EXPECT_FALSE(nested_rules::is_nested(rules.count(3, now)));
 }
 
+// Guards against a failed run whose cause is given as a call that failed before it started.
+TEST(run_success, cause_of_a_failed_run_is_a_call_that_failed_during_it)
+{
+    call_failures calls;
+    EXPECT_EQ(calls.latest_since(start), "");
+    calls.add("call_too_late", start);
+    EXPECT_EQ(calls.latest_since(start - milliseconds(50)), "call_too_late");
+    EXPECT_EQ(calls.latest_since(start + milliseconds(1)), "");
+}
+
 } // namespace agatespread
