upload_link: bytes count when they are read, not when their request is complete

Cause: the meter of the link's use counted whole bodies. On a full link few requests become complete before their callers give up, so the host reported an idle link and free slots, and got more. Change: http_server::on_received passes on the bytes of each read; the meter counts these. Measured: http.bytes_of_requests_that_are_not_complete_are_counted (the hook is new).

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -199,6 +199,10 @@
     /// until they have been written. A connection whose response does not fit is closed.
     void limit_response_memory(body_memory memory);
 
+    /// Calls `call` with the number of bytes of each read, also of requests that never become
+    /// complete.
+    void on_received(std::function<void(std::size_t bytes)> call);
+
     /// Calls `call` for each connection that the server cuts from now on.
     void on_cut(std::function<void(const connection_cut&)> call);
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -86,6 +86,7 @@
     body_memory small_requests;
     body_memory responses;
     std::shared_ptr<std::size_t> draining = std::make_shared<std::size_t>(0);
+    std::function<void(std::size_t bytes)> on_received;
     std::function<void(const connection_cut&)> on_cut;
     std::atomic<bool> open{true};
     bool accepting = true;
@@ -592,6 +593,9 @@
 {
     last_activity_ = std::chrono::steady_clock::now();
     last_read_ = last_activity_;
+    if (server_->on_received) {
+        server_->on_received(bytes);
+    }
     if (message_bytes_ == 0) {
         message_start_ = last_activity_;
     }
@@ -1041,6 +1045,11 @@
     impl_->state->responses = std::move(memory);
 }
 
+void http_server::on_received(std::function<void(std::size_t bytes)> call)
+{
+    impl_->state->on_received = std::move(call);
+}
+
 void http_server::on_cut(std::function<void(const connection_cut&)> call)
 {
     impl_->state->on_cut = std::move(call);
--- a/src/sidecar.cpp
+++ b/src/sidecar.cpp
@@ -174,6 +174,9 @@
     call_listener->limit_response_memory(bodies);
     caller_listener->on_cut([this](const connection_cut& cut) { log_cut("callers", cut); });
     call_listener->on_cut([this](const connection_cut& cut) { log_cut("nodes", cut); });
+    for (http_server* const listener : {caller_listener.get(), call_listener.get()}) {
+        listener->on_received([this](std::size_t bytes) { uploads.add(bytes, loop.now()); });
+    }
     absl::StatusOr<std::unique_ptr<datagram_socket>> socket =
         datagram_socket::open(loop, settings.report_address, [weak](std::string_view bytes) {
             if (const std::shared_ptr<impl> live = weak.lock()) {
@@ -451,7 +454,6 @@
 
 void sidecar::impl::serve_caller(const std::shared_ptr<http_exchange>& exchange)
 {
-    uploads.add(exchange->request().body.size(), loop.now());
     std::make_shared<detail::caller_request>(shared_from_this(), exchange)->start();
 }
 
@@ -474,7 +476,6 @@
         return;
     }
     http_request request = exchange->request();
-    uploads.add(request.body.size(), loop.now());
     strip_headers(request.headers);
     const std::uint64_t id = ++last_gate_id;
     const std::shared_ptr<detail::gate_request> request_at_gate =
--- a/src/upload_link.cpp
+++ b/src/upload_link.cpp
@@ -23,7 +23,7 @@
     return now.time_since_epoch() / part_length;
 }
 
-void upload_meter::add(std::size_t body_bytes, time_point now)
+void upload_meter::add(std::size_t bytes, time_point now)
 {
     const std::int64_t part = part_of(now);
     const std::size_t index = static_cast<std::size_t>(part) % parts;
@@ -31,7 +31,7 @@
         numbers_[index] = part;
         bytes_[index] = 0;
     }
-    bytes_[index] += static_cast<double>(body_bytes) * packet_factor;
+    bytes_[index] += static_cast<double>(bytes) * packet_factor;
 }
 
 double upload_meter::use(time_point now) const
--- a/test/http-test.cpp
+++ b/test/http-test.cpp
@@ -342,6 +342,20 @@
     EXPECT_EQ(raw.read_until("\r\n").substr(9, 3), "200");
 }
 
+// Guards against a link that appears idle because its requests are given up before they are
+// complete.
+TEST_F(http, bytes_of_requests_that_are_not_complete_are_counted)
+{
+    std::size_t received = 0;
+    thread.call([&] { server->on_received([&](std::size_t bytes) { received += bytes; }); });
+    raw_connection raw(server->address());
+    raw.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" +
+             std::string(50000, 'x'));
+    EXPECT_TRUE(thread.eventually([&received] { return received > 50000; }));
+    EXPECT_EQ(requests, 0);
+    thread.call([this] { server->on_received(nullptr); });
+}
+
 // Guards against responses of the process itself that clients ask for and do not read.
 TEST_F(http, response_without_memory_closes_the_connection)
 {
