peers: a request without a response is evidence of a long way

Cause: only responses updated the time to a peer. A peer that loses requests kept the time of its last response for 500 ms, and none after that, so that it appeared as near as one never asked.

--- a/include/agatespread/peers.h
+++ b/include/agatespread/peers.h
@@ -176,6 +176,10 @@
     void record_response(const node_id& node, const reported_load& load,
                          std::chrono::nanoseconds transit, time_point now);
 
+    /// Records that a request to a peer got no response for a time and was given up. Without it, a
+    /// peer that loses requests would appear as near as one that was never asked.
+    void record_silence(const node_id& node, std::chrono::nanoseconds waited, time_point now);
+
     /// Records what a peer's upstream said in a response; nothing if it named neither a limit nor
     /// its leaving. A leaving is kept until another incarnation says something.
     void record_announcement(const node_id& node,
--- a/src/attempts_in_flight.h
+++ b/src/attempts_in_flight.h
@@ -43,6 +43,8 @@
     /// Cancels all attempts; returns whether the request may have run.
     bool cancel_all();
 
+    const std::vector<attempt>& all() const { return attempts_; }
+
 private:
     std::vector<attempt> attempts_;
     std::uint32_t last_id_ = 0;
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -1090,3 +1090,7 @@
 }
 
 } // namespace agatespread::detail
+    const time_point now = owner_->loop.now();
+    for (const attempts_in_flight::attempt& each : in_flight_.all()) {
+        owner_->known_peers.record_silence(each.node, now - each.sent, now);
+    }
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -137,6 +137,17 @@
     known.transit_measured_at = now;
 }
 
+void peers::record_silence(const node_id& node, std::chrono::nanoseconds waited, time_point now)
+{
+    const auto found = peers_.find(node);
+    if (found != peers_.end()) {
+        peer& known = found->second;
+        const bool is_recent = now - known.transit_measured_at <= options_.transit_lifetime;
+        known.transit = std::max(is_recent ? known.transit : std::chrono::nanoseconds(0), waited);
+        known.transit_measured_at = now;
+    }
+}
+
 void peers::record_announcement(const node_id& node,
                                 const std::optional<upstream_announcement>& announced)
 {
--- a/test/peers-test.cpp
+++ b/test/peers-test.cpp
@@ -83,6 +83,22 @@
     EXPECT_EQ(others.slots_of("other", start).slots, 0U);
 }
 
+// Guards against a peer that loses requests and appears near, because only responses tell the
+// time to a peer: it got most of the requests of the others.
+TEST(peers, peer_that_does_not_respond_counts_as_far)
+{
+    peers others = directory();
+    others.receive(report_of("a", 1), start);
+    others.record_silence("a", milliseconds(450), start);
+    EXPECT_EQ(others.eligible("rounds", start).at(0).transit, milliseconds(450));
+    others.record_silence("a", milliseconds(40), start);
+    EXPECT_EQ(others.eligible("rounds", start).at(0).transit, milliseconds(450));
+    others.record_response("a", {}, milliseconds(10), start);
+    EXPECT_LT(others.eligible("rounds", start).at(0).transit, milliseconds(450));
+    others.receive(report_of("a", 2), start + seconds(1));
+    EXPECT_EQ(others.eligible("rounds", start + seconds(1)).at(0).transit.count(), 0);
+}
+
 TEST(peers, report_is_equal_after_encoding_and_decoding)
 {
     peer_report report = report_of("a", 7);
