run_share: only runs lost to a full called service lower the admitted share

Cause: the control lowered the share for any failed run above 1.5 in 100. Errors of the upstream's own, nodes that are cut off and calls that are lost on the way fail the same share of any number of runs, so it fell to its floor without effect, and then admitted everything for 20 s. Change: a run counts as failed only if its call was refused because the gates of the called service had no room for it (too_late, queue_full, shed, expired), or ran out of time after such a refusal.

--- a/include/agatespread/rule_results.h
+++ b/include/agatespread/rule_results.h
@@ -13,7 +13,7 @@
 struct rule_results {
     std::uint32_t kind = 0; ///< As in `kind_time`.
     std::uint32_t ended = 0;
-    std::uint32_t failed = 0;        ///< Of `ended`, those with status 500 or 504 of the upstream.
+    std::uint32_t failed = 0;        ///< Of `ended`, those lost to a call refused for load.
     std::uint32_t expected_idle = 0; ///< In hundredths of an arrival.
     std::uint32_t seen_idle = 0;     ///< In hundredths of an arrival.
 };
--- a/include/agatespread/run_success.h
+++ b/include/agatespread/run_success.h
@@ -62,6 +62,13 @@
     time_point failed_at_;
 };
 
+/// Returns whether a call failed because the gates of the called service had no room for it.
+///
+/// Only such failures become fewer if fewer runs are started. An error of the upstream's own, a
+/// lost connection, a node that is cut off or a slow link fail the same share of any number of
+/// runs.
+bool is_refused_for_load(std::string_view reason);
+
 /// Returns the share of failed runs of a rule if the failures are spread over the upstreams of the
 /// service, otherwise 0; nothing with too few runs to tell.
 ///
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -944,6 +944,7 @@
     owner_->log.request("request_refused", context_.request_id,
                         {{"reason", reason},
                          {"rule", rule_ ? std::string_view(rule_->name) : std::string_view("-")},
+    last_refusal_ = metadata.reason;
                          {"service", service_},
                          {"version", version_},
                          {"tried", static_cast<std::uint64_t>(tried_.size())},
@@ -969,7 +970,9 @@
     count_second("failed");
     series_->failed.add();
     if (nested_) {
-        owner_->record_failed_call(fmt::format("failed_{}", status));
+        // A call that ran out of time after refusals was lost to them.
+        owner_->record_failed_call(last_refusal_.empty() ? fmt::format("failed_{}", status)
+                                                         : last_refusal_);
     }
     if (tenant_) {
         owner_->count_tenant_request(tenant_->name, "failed");
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -138,6 +138,7 @@
     bool may_have_run_ = false;
     bool suspect_ = false;
     bool nested_ = false; ///< A call that an upstream makes during a run.
+    std::string last_refusal_;   ///< Reason of the last refusal by a gate.
     bool waiting_for_version_ = false;
     bool done_ = false;
     attempts_in_flight in_flight_;
--- a/src/run_success.cpp
+++ b/src/run_success.cpp
@@ -1,3 +1,4 @@
+#include <agatespread/admission.h>
 #include <agatespread/run_success.h>
 
 #include <algorithm>
@@ -129,6 +130,15 @@
     return failed_at_ >= since ? std::string_view(reason_) : std::string_view();
 }
 
+bool is_refused_for_load(std::string_view reason)
+{
+    constexpr std::array<refusal_reason, 4> reasons = {
+        refusal_reason::too_late, refusal_reason::queue_full, refusal_reason::shed,
+        refusal_reason::expired};
+    return std::any_of(reasons.begin(), reasons.end(),
+                       [reason](refusal_reason each) { return name_of(each) == reason; });
+}
+
 std::optional<double> widespread_failures(const std::vector<run_count>& by_upstream)
 {
     run_count total;
--- a/src/sidecar_runs.cpp
+++ b/src/sidecar_runs.cpp
@@ -66,17 +66,19 @@
 void sidecar::impl::record_run(const std::string& rule, int status, time_point started)
 {
     const bool failed = status == internal_error || status == upstream_out_of_time;
-    runs->results.add(kind_of(rule), failed, loop.now());
+    const std::string_view call =
+        failed ? runs->failed_calls.latest_since(started) : std::string_view();
+    runs->results.add(kind_of(rule), is_refused_for_load(call), loop.now());
     if (failed && protects_runs()) {
-        const std::string_view call = runs->failed_calls.latest_since(started);
-        const std::string_view own = status == internal_error ? "own_error" : "own_deadline";
-        failed_runs.add({{"cause", std::string(call.empty() ? own : call)}, {"rule", rule}});
+        const std::string own = status == internal_error ? "own_error" : "own_deadline";
+        failed_runs.add(
+            {{"cause", call.empty() ? own : "call_" + std::string(call)}, {"rule", rule}});
     }
 }
 
 void sidecar::impl::record_failed_call(std::string_view reason)
 {
-    runs->failed_calls.add("call_" + std::string(reason), loop.now());
+    runs->failed_calls.add(std::string(reason), loop.now());
 }
 
 bool sidecar::impl::has_free_slots(const std::string& service)
--- a/test/run_success-test.cpp
+++ b/test/run_success-test.cpp
@@ -183,4 +183,17 @@
     EXPECT_EQ(calls.latest_since(start + milliseconds(1)), "");
 }
 
+// Guards against a share that falls for failures which fewer runs would not avoid.
+TEST(run_success, only_calls_refused_for_load_count_against_the_share)
+{
+    for (const char* const reason : {"too_late", "queue_full", "shed", "expired"}) {
+        EXPECT_TRUE(is_refused_for_load(reason)) << reason;
+    }
+    for (const char* const reason :
+         {"", "failed_502", "failed_504", "error_response", "no_upstream", "draining",
+          "unavailable", "upstream_refused", "crash_guard", "stopping", "link_full"}) {
+        EXPECT_FALSE(is_refused_for_load(reason)) << reason;
+    }
+}
+
 } // namespace agatespread
