gate_request: a response without the request's id is nobody's answer

Cause: a failure without an id, such as additional bytes of a faulty upstream, was taken for the response to the request that had just been sent on the connection. Change: the head of any response must carry the request's id; otherwise the connection ends and the request counts as one that may have run. A sound upstream echoes the id in all its responses.

--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -224,8 +224,7 @@
 
 bool gate_request::accepts_head(const http_response& head) const
 {
-    const std::string answered_id = owner_->dialect.read_upstream_response(head).request_id;
-    return answered_id.empty() || answered_id == request_id_;
+    return owner_->dialect.read_upstream_response(head).request_id == request_id_;
 }
 
 void gate_request::on_upstream_result(http_result result)
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -88,6 +88,57 @@
 
 // Guards against a response whose head broke off that a caller gets as a whole one.
 TEST_F(sidecar_upstream, response_that_ends_within_its_head_is_a_failure)
+// Guards against additional bytes of an upstream that reach a caller as the response to a request
+// that has run: as a promise not to have run, or as an error of another request.
+TEST_F(sidecar_upstream, failure_without_a_request_id_is_not_taken_for_a_response)
+{
+    for (const char* const status : {"400 Bad", "404 None", "429 Many", "500 Bad", "503 Busy"}) {
+        std::atomic<int> runs{0};
+        const std::string additional =
+            std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(status_after_repeated_refusal(*this, additional, runs), 502) << status;
+        EXPECT_EQ(runs, 1) << status;
+    }
+}
+
+// Guards against an upload that is cut off and lost because its upstream pauses in reading, which a
+// sound one may do until the caller's deadline.
+TEST_F(sidecar_upstream, upload_outlasts_a_pause_in_reading_of_its_upstream)
+{
+    constexpr std::size_t body_bytes = 8U << 20U; // More than the buffers of the sockets hold.
+    static constexpr milliseconds pause{3000};
+    raw_upstream upstream([](asio::ip::tcp::socket& socket, int) {
+        const std::string head = read_head(socket);
+        if (head.find("POST") != 0) {
+            return;
+        }
+        std::this_thread::sleep_for(pause);
+        std::string body(body_bytes, 0);
+        asio::error_code error;
+        std::size_t left = body_bytes - (head.size() - head.find("\r\n\r\n") - 4);
+        asio::read(socket, asio::buffer(body, left), error);
+        raw_upstream::write(socket, "HTTP/1.1 200 OK\r\nId: " + id_of(head) +
+                                        "\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    start(first, "a", "rounds", upstream.address());
+    configure("1 8000 once rounds");
+    ASSERT_TRUE(eventually_ready(first));
+    send_heartbeat(first);
+    http_call call;
+    call.url = "http://" + thread.call([this] { return first.node->caller_address(); }) + "/x/1";
+    call.request.method = "POST";
+    call.request.headers.set("Host", "mesh.example");
+    call.request.headers.set(id_header, "7");
+    call.request.body = std::string(body_bytes, 'u');
+    call.timeout = std::chrono::seconds(10);
+    std::promise<http_result> promise;
+    thread.loop().post([&] {
+        client.send(std::move(call),
+                    [&promise](http_result result) { promise.set_value(std::move(result)); });
+    });
+    EXPECT_EQ(promise.get_future().get().response.status, 200);
+}
+
 {
     const std::string head =
         "HTTP/1.1 200 OK\r\nId: ?\r\nSignature: s\r\nContent-Type: text/plain\r\n"
