http_client: an upstream on the own host may pause in reading

Cause: the time-out for unacknowledged data (1.5 s) also ends connections to a peer that lives and does not read for a while. On the own host it detects nothing that the system does not tell anyway. Change: no detection of dead peers for the requests of a node to its own upstream. Connections between nodes keep it; a node that pauses in reading for lack of memory can still be cut off.

--- a/include/agatespread/http.h
+++ b/include/agatespread/http.h
@@ -222,6 +222,10 @@
     std::size_t max_response_bytes = 8U << 20U;
     bool new_connection = false;   ///< Opens a connection instead of using an idle one.
     bool close_connection = false; ///< Closes the connection after the response.
+    /// Ends the connection if the peer leaves data unacknowledged, or does not read, for 1.5 s.
+    /// False for a peer on this host: its system closes the connections of a process that ends, and
+    /// one that lives may pause in reading.
+    bool detect_dead_peer = true;
     /// Accepts a body without a length that ends with an orderly close of the connection, even if
     /// the response has no field "Connection: close".
     bool allow_close_delimited_body = false;
--- a/src/curl_loop.cpp
+++ b/src/curl_loop.cpp
@@ -107,20 +107,30 @@
     sockets_.clear();
 }
 
-void curl_loop::set_socket_callbacks(CURL* easy)
+void curl_loop::set_socket_callbacks(CURL* easy, bool detect_dead_peer)
 {
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &curl_loop::on_open);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
+                     detect_dead_peer ? &curl_loop::on_open : &curl_loop::on_open_on_this_host);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &curl_loop::on_close);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
 }
 
-curl_socket_t curl_loop::on_open(void* self, curlsocktype /*purpose*/, curl_sockaddr* address)
+curl_socket_t curl_loop::on_open(void* self, curlsocktype purpose, curl_sockaddr* address)
+{
+    const curl_socket_t fd = on_open_on_this_host(self, purpose, address);
+    if (fd != CURL_SOCKET_BAD) {
+        enable_dead_peer_detection(fd);
+    }
+    return fd;
+}
+
+curl_socket_t curl_loop::on_open_on_this_host(void* self, curlsocktype /*purpose*/,
+                                              curl_sockaddr* address)
 {
     const curl_socket_t fd =
         ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
     if (fd != CURL_SOCKET_BAD) {
-        enable_dead_peer_detection(fd);
         curl_loop* const loop = static_cast<curl_loop*>(self);
         // libcurl closes a socket whose connection attempt it gives up without calling `on_close`.
         loop->forget(fd);
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -31,7 +31,7 @@
     asio::io_context& context() { return context_; }
 
     /// Makes a transfer open and close its sockets through this loop; to be called once for each.
-    void set_socket_callbacks(CURL* easy);
+    void set_socket_callbacks(CURL* easy, bool detect_dead_peer);
 
     /// Returns whether the connection between two ports is open and has no unread bytes.
     bool is_usable(int local_port, int remote_port);
@@ -47,6 +47,8 @@
     struct watched_socket;
 
     static curl_socket_t on_open(void* self, curlsocktype purpose, curl_sockaddr* address);
+    static curl_socket_t on_open_on_this_host(void* self, curlsocktype purpose,
+                                              curl_sockaddr* address);
     static int on_close(void* self, curl_socket_t fd);
     static int on_socket(CURL* easy, curl_socket_t fd, int poll_events, void* self, void* watch);
     static int on_timer(CURLM* multi, long delay_ms, void* self);
--- a/src/gate_request.cpp
+++ b/src/gate_request.cpp
@@ -208,6 +208,7 @@
     call.connect_timeout = upstream_connect_timeout;
     call.max_response_bytes = 64U << 20U;
     call.allow_close_delimited_body = true;
+    call.detect_dead_peer = false;
     call.accept_head = [self = shared_from_this()](const http_response& head) {
         return self->accepts_head(head);
     };
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -92,7 +92,6 @@
     : loop_(loop), memory_(std::move(memory)), on_discard_(std::move(on_discard)),
       easy_(curl_easy_init())
 {
-    loop_.set_socket_callbacks(easy_);
     set_constant_options();
 }
 
@@ -134,6 +133,7 @@
 {
     id_ = id;
     call_ = std::move(call);
+    loop_.set_socket_callbacks(easy_, call_.detect_dead_peer);
     sent_ = false;
     stale_ = false;
     stale_connections_ = 0;
--- a/src/sidecar_upstream.cpp
+++ b/src/sidecar_upstream.cpp
@@ -82,6 +82,7 @@
     http_call call;
     call.url = "http://" + settings.upstream_address + dialect.health_path;
     call.timeout = probe_timeout;
+    call.detect_dead_peer = false;
     call.request.headers.set("Host", settings.upstream_address);
     client.send(std::move(call), [weak = weak_from_this()](const http_result& result) {
         const std::shared_ptr<impl> self = weak.lock();
--- a/test/sidecar-upstream-test.cpp
+++ b/test/sidecar-upstream-test.cpp
@@ -2,6 +2,8 @@
 #include "sidecar_call.h"
 #include "sidecar_fixture.h"
 
+#include <asio/read.hpp>
+
 #include <thread>
 
 namespace agatespread::test {
@@ -86,8 +88,6 @@
     EXPECT_EQ(runs, 1);
 }
 
-// Guards against a response whose head broke off that a caller gets as a whole one.
-TEST_F(sidecar_upstream, response_that_ends_within_its_head_is_a_failure)
 // Guards against additional bytes of an upstream that reach a caller as the response to a request
 // that has run: as a promise not to have run, or as an error of another request.
 TEST_F(sidecar_upstream, failure_without_a_request_id_is_not_taken_for_a_response)
@@ -139,6 +139,8 @@
     EXPECT_EQ(promise.get_future().get().response.status, 200);
 }
 
+// Guards against a response whose head broke off that a caller gets as a whole one.
+TEST_F(sidecar_upstream, response_that_ends_within_its_head_is_a_failure)
 {
     const std::string head =
         "HTTP/1.1 200 OK\r\nId: ?\r\nSignature: s\r\nContent-Type: text/plain\r\n"
