control_port: a heartbeat without all of its fields is of another writer

Cause: only slots, sequence and state were required, and the start time of the foreign message was later than the upstream's. The bodies of three tests had no version and no zone; they have them now, and each field is taken out and given another type in turn.

--- a/test/platform_control-test.cpp
+++ b/test/platform_control-test.cpp
@@ -11,9 +11,9 @@
 std::string body(const std::string& state, const std::string& slots = "9",
                  const std::string& born = ",\"born\":1700000000123")
 {
-    return R"({"address":"10.0.0.1:1","info":{"service":"s","slots":)" + slots +
-           R"(},"status":{"state":")" + state + R"(","sequence":4,"warmup_left":"1.5s"})" + born +
-           "}";
+    return R"({"address":"10.0.0.1:1","info":{"service":"s","version":"v1","zone":"z","slots":)" +
+           slots + R"(},"status":{"state":")" + state + R"(","sequence":4,"warmup_left":"1.5s"})" +
+           born + "}";
 }
 
 } // namespace
@@ -62,8 +62,24 @@
 TEST(platform_control, heartbeats_of_other_writers_are_rejected)
 {
     const std::string without_state =
-        R"({"address":"10.0.0.1:1","info":{"service":"s","slots":9},"status":{"sequence":4}})";
+        R"({"address":"10.0.0.1:1","info":{"service":"s","version":"v1","zone":"z","slots":9},)"
+        R"("status":{"sequence":4,"warmup_left":"0ms"}})";
     EXPECT_FALSE(parse_upstream_message(path, without_state).ok());
+    // Each of the members that every heartbeat has, of another type or missing.
+    const std::string whole = body("ready");
+    for (const char* const member : {R"("service":"s",)", R"("version":"v1",)", R"("zone":"z",)",
+                                     R"(,"warmup_left":"1.5s")"}) {
+        std::string changed = whole;
+        const std::size_t position = changed.find(member);
+        ASSERT_NE(position, std::string::npos) << member;
+        EXPECT_FALSE(
+            parse_upstream_message(path, changed.erase(position, std::string(member).size())).ok())
+            << member;
+        changed = whole;
+        const std::size_t value = changed.find(':', position) + 1;
+        changed.replace(value, changed.find('"', value + 1) + 1 - value, "7");
+        EXPECT_FALSE(parse_upstream_message(path, changed).ok()) << changed;
+    }
     sidecar_settings settings;
     settings.service = "s";
     settings.upstream_address = "10.0.0.1:1";
