upstream_lifecycle: a late message of an earlier process does not void a stored leaving

Cause: adopting any process dropped the stored departure, also one that ran before the process that has left. Change: messages of a process that started before the departed one are ignored unless a health check names it, as its clock may have been set back; a departure is dropped only for a later process.

--- a/include/agatespread/upstream_lifecycle.h
+++ b/include/agatespread/upstream_lifecycle.h
@@ -108,6 +108,10 @@
 private:
     lifecycle_change transition_to(upstream_state next);
     void adopt(const std::string& instance, std::chrono::milliseconds started_at);
+    /// Returns whether a message is of a process that ran before the one that is known to have
+    /// left.
+    bool precedes_departure(const std::string& instance,
+                            std::chrono::milliseconds started_at) const;
 
     std::string instance_;
     std::string version_;
--- a/src/upstream_lifecycle.cpp
+++ b/src/upstream_lifecycle.cpp
@@ -12,8 +12,22 @@
             departure.started_at == started_at);
 }
 
+bool is_earlier(std::chrono::milliseconds left, std::chrono::milliseconds right)
+{
+    return left.count() != 0 && right.count() != 0 && left < right;
+}
+
 } // namespace
 
+bool upstream_lifecycle::precedes_departure(const std::string& instance,
+                                            std::chrono::milliseconds started_at) const
+{
+    // A start time may be earlier because the clock was set back; a passed health check shows that
+    // the process runs now.
+    return departed_ && is_earlier(started_at, departed_->started_at) &&
+           healthy_instance_ != instance;
+}
+
 lifecycle_change upstream_lifecycle::transition_to(upstream_state next)
 {
     const upstream_state before = state_;
@@ -34,7 +48,9 @@
         exit_announced_ = left_service_;
     }
     left_service_ = departed_ && concerns(*departed_, instance, started_at);
-    departed_.reset();
+    if (left_service_ || (departed_ && is_earlier(departed_->started_at, started_at))) {
+        departed_.reset();
+    }
     heartbeat_received_ = true;
     instance_ = instance;
     version_.clear();
@@ -49,7 +65,8 @@
     const bool same_incarnation = heartbeat_received_ && heartbeat.started_at == started_at_ &&
                                   heartbeat.instance == instance_;
     const bool earlier_incarnation = heartbeat_received_ && heartbeat.started_at < started_at_;
-    if (earlier_incarnation || (same_incarnation && heartbeat.sequence <= sequence_)) {
+    if (earlier_incarnation || precedes_departure(heartbeat.instance, heartbeat.started_at) ||
+        (same_incarnation && heartbeat.sequence <= sequence_)) {
         ++ignored_messages_;
         return lifecycle_change::none;
     }
@@ -74,6 +91,10 @@
                                                 std::chrono::milliseconds started_at)
 {
     const bool order_unknown = started_at.count() == 0;
+    if (precedes_departure(instance, started_at)) {
+        ++ignored_messages_;
+        return lifecycle_change::none;
+    }
     if (!heartbeat_received_ || started_at > started_at_) {
         adopt(instance, started_at);
         if (order_unknown) {
--- a/test/upstream_lifecycle-test.cpp
+++ b/test/upstream_lifecycle-test.cpp
@@ -296,4 +296,47 @@
     EXPECT_EQ(upstream.state(), upstream_state::draining);
 }
 
+// Promise: an acknowledged leaving holds, also after a restart of the node. Guards against a late
+// heartbeat of a process before the one that has left, after which the leaving was forgotten and
+// late heartbeats of the one that has left opened the gate.
+TEST(upstream_lifecycle, restored_departure_outlasts_late_heartbeats_of_earlier_processes)
+{
+    for (const int earlier : {10, 0}) {
+        upstream_lifecycle upstream(true);
+        upstream.restore({"b", milliseconds(20)});
+        EXPECT_EQ(upstream.receive(heartbeat("a", earlier, 7)), lifecycle_change::none);
+        for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+            EXPECT_EQ(upstream.receive(heartbeat("b", 20, sequence)), lifecycle_change::none);
+        }
+        EXPECT_NE(upstream.state(), upstream_state::ready) << earlier;
+        EXPECT_TRUE(upstream.departure().has_value()) << earlier;
+    }
+}
+
+// The same for a late deregistration of an earlier process.
+TEST(upstream_lifecycle, restored_departure_outlasts_a_late_deregistration_of_an_earlier_process)
+{
+    upstream_lifecycle upstream(true);
+    upstream.restore({"b", milliseconds(20)});
+    upstream.deregister("a", milliseconds(10));
+    for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+        EXPECT_EQ(upstream.receive(heartbeat("b", 20, sequence)), lifecycle_change::none);
+    }
+    EXPECT_NE(upstream.state(), upstream_state::ready);
+}
+
+// Guards against an upstream that gets no work for the rest of its life because the clock was set
+// back before it started.
+TEST(upstream_lifecycle, process_that_started_with_an_earlier_clock_is_opened_by_its_health_check)
+{
+    upstream_lifecycle upstream(true);
+    upstream.restore({"b", milliseconds(20)});
+    upstream.receive(heartbeat("c", 10, 1));
+    EXPECT_EQ(upstream.health_check_passed("c", 9), lifecycle_change::opened);
+    upstream.receive(heartbeat("c", 10, 2));
+    EXPECT_EQ(upstream.state(), upstream_state::ready);
+    EXPECT_EQ(upstream.instance(), "c");
+    EXPECT_EQ(upstream.receive(heartbeat("c", 10, 3, true)), lifecycle_change::closed);
+}
+
 } // namespace agatespread
