--- a/test/sidecar-upload-test.cpp
+++ b/test/sidecar-upload-test.cpp
@@ -89,9 +89,11 @@
 // Guards against an upload that is lost or changed on its way through an offer.
 TEST_F(sidecar_upload_test, uploads_arrive_whole_one_after_another)
 {
+    constexpr int uploads = 6;
     std::vector<std::thread> callers;
+    callers.reserve(uploads);
     std::atomic<int> served{0};
-    for (int caller = 0; caller < 6; ++caller) {
+    for (int caller = 0; caller < uploads; ++caller) {
         callers.emplace_back([this, caller, &served] {
             served += send_call(upload("u" + std::to_string(caller))).response.status == 200;
         });
@@ -99,7 +101,7 @@
     for (std::thread& caller : callers) {
         caller.join();
     }
-    EXPECT_EQ(served, 6);
+    EXPECT_EQ(served, uploads);
     EXPECT_EQ(thread.call([this] { return second.last_request.body.size(); }), body_bytes);
     EXPECT_FALSE(thread.call(
         [this] { return second.last_request.headers.contains("X-Agatespread-Upload-Grant"); }));
