--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -465,9 +465,10 @@
     async def run(self, run, message, reader, writer):
         """Runs a request and answers it."""
         await asyncio.sleep(self.work_of(message))
-        writer.write(self.success(run.id))
+        leaving = self.state == "draining"
+        writer.write(self.success(run.id, more=[("Connection", "close")] if leaving else []))
         await writer.drain()
-        return True
+        return not leaving
 
     def work_of(self, message):
         return self.work
