review 3: case 11, suspended nodes stop taking requests of other nodes for good

Cause: a connection that is reset before it is accepted takes a place of the listener that is never given back, and nodes reset the calls to a suspended node.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -328,6 +328,7 @@
         self.working = 0
         self.idle_timeout = 30.0
         self.alive = False
+        self.logs_runs = True
 
     @property
     def address(self):
@@ -447,9 +448,10 @@
         run = Run(request_id, self, message, self.record.now())
         self.runs.append(run)
         self.working += 1
-        self.record.line("run", id=request_id, instance=self.instance, born=self.born,
-                         method=message.method, target=message.target,
-                         tenant=message.get("x-tenant-id", "-"))
+        if self.logs_runs:
+            self.record.line("run", id=request_id, instance=self.instance, born=self.born,
+                             method=message.method, target=message.target,
+                             tenant=message.get("x-tenant-id", "-"))
         try:
             return await self.run(run, message, reader, writer)
         except asyncio.CancelledError:
@@ -460,7 +462,8 @@
             run.ended = self.record.now()
             if run.end == "at work":
                 run.end = "done"
-            self.record.line("run_ended", id=request_id, instance=self.instance, end=run.end)
+            if self.logs_runs:
+                self.record.line("run_ended", id=request_id, instance=self.instance, end=run.end)
 
     async def run(self, run, message, reader, writer):
         """Runs a request and answers it."""
@@ -647,8 +650,58 @@
         return answer
 
 
-async def settled(seconds):
-    await asyncio.sleep(seconds)
+class KeptCaller:
+    """A client that sends one request after another on a kept connection.
+
+    It honours `Connection: close` and `Retry-After` and abandons an attempt at its deadline.
+    """
+
+    def __init__(self, record, node, number, requests, deadline=1.0, pause=0.25):
+        self.record = record
+        self.node = node
+        self.requests = requests  # (method, target, body) in turn
+        self.deadline = deadline
+        self.pause = pause
+        self.prefix = os.urandom(4).hex()
+        self.count = number
+        self.answers = []  # (sent, status); 0: closed without an answer, -1: none in time
+        self.reader = self.writer = None
+
+    async def send(self):
+        self.count += 1
+        method, target, body = self.requests[self.count % len(self.requests)]
+        sent = self.record.now()
+        answer = None
+        status = 0
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.wait_for(
+                    asyncio.open_connection(*self.node.outbound), 1.0)
+            self.writer.write(encode(
+                f"{method} {target} HTTP/1.1",
+                [("Host", HOST), ("X-Request-Id", f"{self.prefix}{self.count:08x}"),
+                 ("X-Deadline-Ms", str(int(self.deadline * 1000)))], body, bool(body)))
+            answer = await asyncio.wait_for(read_message(self.reader), self.deadline + 0.2)
+            status = answer.status if answer else 0
+        except asyncio.TimeoutError:
+            status = -1
+        except OSError:
+            pass
+        self.answers.append((sent, status))
+        if answer is None or answer.get("connection").lower() == "close":
+            self.close()
+        return answer
+
+    async def run(self):
+        while True:
+            answer = await self.send()
+            wait = float(answer.get("retry-after", "0")) if answer else 0
+            await asyncio.sleep(max(self.pause, min(wait, self.deadline / 3)))
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+            self.reader = self.writer = None
 
 
 def main(case_folder, play, limit=110):
