--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+import logging
 import os
 import random
 import re
@@ -25,6 +26,9 @@
 PROGRAM = os.path.join(REPOSITORY, "target", "agatespread-sidecar")
 TEMPLATE = os.path.join(REPOSITORY, "deploy", "settings.yaml")
 
+# Writes to connections that a crash has reset are expected.
+logging.getLogger("asyncio").setLevel(logging.ERROR)
+
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HOST = "ficu95.example"
 HEARTBEAT_PERIOD = 0.87
