--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -440,13 +440,15 @@
             self.record.line("misdirected", id=request_id, instance=self.instance,
                              expected=message.get("x-target-instance"))
             writer.write(encode("HTTP/1.1 421 Misdirected Request",
-                                [("X-Request-Id", request_id), ("X-Instance-Id", self.instance)]))
+                                [("X-Request-Id", request_id), ("X-Instance-Id", self.instance),
+                                 *self.leaving_fields()]))
             await writer.drain()
             return True
         if self.working >= self.slots:
             self.record.line("full", id=request_id, instance=self.instance)
             writer.write(encode("HTTP/1.1 503 Service Unavailable",
-                                [("X-Request-Id", request_id), ("X-Not-Executed", "1")]))
+                                [("X-Request-Id", request_id), ("X-Not-Executed", "1"),
+                                 *self.leaving_fields()]))
             await writer.drain()
             return True
         run = Run(request_id, self, message, self.record.now())
@@ -472,10 +474,13 @@
     async def run(self, run, message, reader, writer):
         """Runs a request and answers it."""
         await asyncio.sleep(self.work_of(message))
-        leaving = self.state == "draining"
-        writer.write(self.success(run.id, more=[("Connection", "close")] if leaving else []))
+        writer.write(self.success(run.id, more=self.leaving_fields()))
         await writer.drain()
-        return not leaving
+        return self.state == "ready"
+
+    def leaving_fields(self):
+        """What the answers of an upstream that leaves say of it."""
+        return [] if self.state == "ready" else [("Server-Leaving", "1"), ("Connection", "close")]
 
     def work_of(self, message):
         return self.work
