--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -566,7 +566,7 @@
             answer = await request(self.ready, "GET", "/v1/ready", [("Host", self.ready)],
                                    timeout=1.0)
             return answer.status == 200
-        except OSError:
+        except (OSError, asyncio.TimeoutError):
             return False
 
     async def wait_ready(self, seconds=10):
@@ -607,7 +607,9 @@
     host, port = address if isinstance(address, tuple) else address.split(":")
     answer = Answer()
     answer.sent = time.monotonic()
-    reader, writer = await asyncio.open_connection(host, int(port), limit=1 << 24)
+    # Clients allow a new connection one second.
+    reader, writer = await asyncio.wait_for(
+        asyncio.open_connection(host, int(port), limit=1 << 24), 1.0)
     try:
         writer.write(raw or encode(f"{method} {target} HTTP/1.1", fields, body,
                                    bool(body) or method in ("POST", "PUT")))
@@ -647,7 +649,7 @@
         self.record.line("sent", id=request_id, node=self.node.name, method=method, target=target)
         try:
             answer = await request(self.node.outbound, method, target, fields, body, deadline)
-        except OSError as error:
+        except (OSError, asyncio.TimeoutError) as error:
             answer = Answer()
             answer.end = type(error).__name__
         answer.id = request_id
