--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -723,6 +723,8 @@
     resources = []
 
     async def run():
+        # A script that is told to end still ends its nodes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory(prefix="review-3-") as folder:
             try:
                 return await asyncio.wait_for(play(record, folder, trouble, resources), limit)
@@ -742,7 +744,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # An error of the script is no verdict.
         record.line("could_not_run", error=repr(error))
         print("could not run:", repr(error))
         sys.exit(COULD_NOT_RUN)
